--- /dev/null
+++ b/codegen/src/main/kotlin/org/toucanspur/codegen/Main.kt
@@ -0,0 +1,35 @@
+/*
+ * Writes the generated sources and the configuration reference below a repository root.
+ */
+package org.toucanspur.codegen
+
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlinx.serialization.json.Json
+
+/** Regenerates all files below the repository root given as the first argument. */
+fun main(args: Array<String>) {
+    val root = Path.of(args.firstOrNull() ?: ".")
+    generateAll(root).forEach { (path, text) ->
+        Files.createDirectories(path.parent)
+        Files.writeString(path, text)
+        println("wrote $path")
+    }
+}
+
+/** Content of every generated file, by its path below [root]. */
+internal fun generateAll(root: Path): Map<Path, String> {
+    val schemas = root.resolve("schema/src/main/schema")
+    val generated = root.resolve("schema/src/main/generated/org/toucanspur/schema")
+    val messages = Json.decodeFromString<MessageSchema>(schemas.resolve("messages.json").text())
+    val settings = Json.decodeFromString<FileSchema>(schemas.resolve("settings.json").text())
+    val environment = Json.decodeFromString<FileSchema>(schemas.resolve("environment.json").text())
+    val files = generateMessages(messages) +
+        generateFile(settings, "settings.json") +
+        generateFile(environment, "environment.json")
+    val sources = files.associate { generated.resolve("${it.name}.kt") to it.toString() }
+    val docs = generateConfigurationDocs(listOf(settings, environment))
+    return sources + (root.resolve("docs/CONFIGURATION.md") to docs)
+}
+
+private fun Path.text(): String = Files.readString(this)
--- /dev/null
+++ b/core/src/main/kotlin/org/toucanspur/core/config/DocumentCheck.kt
@@ -0,0 +1,78 @@
+/*
+ * The complete offline check of an environment document and of a settings file.
+ */
+package org.toucanspur.core.config
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.toucanspur.core.config.rules.DocumentUnderCheck
+import org.toucanspur.core.config.rules.documentRules
+import org.toucanspur.schema.DaemonConfiguration
+import org.toucanspur.schema.DaemonRole
+import org.toucanspur.schema.EnvironmentConfiguration
+import org.toucanspur.schema.SectionValues
+import org.toucanspur.schema.daemonConfiguration
+import org.toucanspur.schema.daemonFileSpec
+import org.toucanspur.schema.environmentConfiguration
+import org.toucanspur.schema.environmentFileSpec
+
+/** A document without errors; [warnings] are for the operator's eyes. */
+data class CheckedDocument(
+    val configuration: EnvironmentConfiguration,
+    val values: Map<String, List<SectionValues>>,
+    val warnings: List<Finding>
+)
+
+/** Checks an environment document; on failure returns all findings, warnings included. */
+fun checkDocument(file: String, text: String): Result<CheckedDocument, List<Finding>> {
+    val keys = checkKeys(file, text, environmentFileSpec)
+    if (keys.hasErrors) return Err(keys.findings)
+    val configuration = environmentConfiguration(keys.values)
+    val document = DocumentUnderCheck(file, configuration, keys.locations)
+    val findings = documentRules().flatMap { it.check(document) }.sortedBy { it.line }
+    return if (findings.any { it.severity == Severity.ERROR }) {
+        Err(findings)
+    } else {
+        Ok(CheckedDocument(configuration, keys.values, findings))
+    }
+}
+
+/** Checks a settings file of the daemon; on failure returns all findings. */
+fun checkSettings(file: String, text: String): Result<DaemonConfiguration, List<Finding>> {
+    val keys = checkKeys(file, text, daemonFileSpec)
+    if (keys.hasErrors) return Err(keys.findings)
+    val settings = daemonConfiguration(keys.values)
+    val findings = agentFindings(file, settings, keys.locations)
+    return if (findings.isEmpty()) Ok(settings) else Err(findings)
+}
+
+private fun agentFindings(
+    file: String,
+    settings: DaemonConfiguration,
+    locations: Locations
+): List<Finding> {
+    if (settings.daemon.role != DaemonRole.AGENT) return emptyList()
+    val discardUrl = "http://127.0.0.1:9"
+    val line = locations.line("endpoint")
+    return buildList {
+        if (settings.endpoint.pool.value == "none") {
+            add(
+                Finding(
+                    file,
+                    line,
+                    "role agent lacks \"pool\" in section [endpoint]; name its pool"
+                )
+            )
+        }
+        if (settings.endpoint.url == discardUrl) {
+            add(
+                Finding(
+                    file,
+                    line,
+                    "role agent lacks \"url\" in section [endpoint]; give the endpoint's URL"
+                )
+            )
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/toucanspur/core/membership/EndpointTable.kt
@@ -0,0 +1,75 @@
+/*
+ * The endpoints that an entry knows from heartbeats. Reports of an earlier life or with an older
+ * sequence number are dropped, so that delayed and doubled messages have no effect.
+ */
+package org.toucanspur.core.membership
+
+import org.toucanspur.core.routing.EndpointView
+import org.toucanspur.core.routing.OutlierDetector
+import org.toucanspur.schema.EndpointStatus
+import org.toucanspur.schema.PoolId
+import org.toucanspur.schema.VmId
+
+/** Endpoints by VM. Safe for use by several threads. */
+class EndpointTable(private val staleMillis: Long, private val outliers: OutlierDetector) {
+    private val entries = HashMap<VmId, Entry>()
+
+    /** Accepts a report; returns false when it is older than what is known. */
+    @Synchronized
+    fun onReport(status: EndpointStatus, nowMillis: Long): Boolean {
+        val known = entries[status.vm]
+        if (known != null && isOlder(status, known.status)) return false
+        val inFlight = known?.inFlight ?: 0
+        entries[status.vm] = Entry(status, nowMillis, inFlight, inFlight)
+        return true
+    }
+
+    private fun isOlder(status: EndpointStatus, known: EndpointStatus): Boolean =
+        status.incarnation.value < known.incarnation.value ||
+            (status.incarnation == known.incarnation && status.sequence <= known.sequence)
+
+    /** Takes an endpoint out of routing until its next report. */
+    @Synchronized
+    fun onLost(vm: VmId) {
+        entries[vm]?.let { it.isLost = true }
+    }
+
+    /** Notes an own request that starts (+1) or ends (-1) at the endpoint. */
+    @Synchronized
+    fun addInFlight(vm: VmId, delta: Int) {
+        entries[vm]?.let { it.inFlight = maxOf(0, it.inFlight + delta) }
+    }
+
+    /** Endpoints of [pool] that were heard of lately. */
+    @Synchronized
+    fun endpointsOf(pool: PoolId, nowMillis: Long): List<EndpointView> = entries.values
+        .filter { it.status.pool == pool && isFresh(it, nowMillis) }
+        .map {
+            EndpointView(
+                it.status,
+                it.inFlight,
+                it.inFlightAtReport,
+                outliers.isEjected(it.status.vm, nowMillis)
+            )
+        }
+
+    /** Last reports of all endpoints, for the operator. */
+    @Synchronized
+    fun statuses(): List<EndpointStatus> = entries.values.map { it.status }.sortedBy { it.vm.value }
+
+    /** Last report of [vm], if it is fresh. */
+    @Synchronized
+    fun statusOf(vm: VmId, nowMillis: Long): EndpointStatus? =
+        entries[vm]?.takeIf { isFresh(it, nowMillis) }?.status
+
+    private fun isFresh(entry: Entry, nowMillis: Long): Boolean =
+        !entry.isLost && nowMillis - entry.heardMillis < staleMillis
+
+    private class Entry(
+        val status: EndpointStatus,
+        val heardMillis: Long,
+        val inFlightAtReport: Int,
+        var inFlight: Int,
+        var isLost: Boolean = false
+    )
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/Main.kt
@@ -0,0 +1,90 @@
+/*
+ * The daemon `toucanspurd`: `toucanspurd --settings FILE.ini`. Exit codes: 0 after a graceful
+ * shutdown, 1 when the process cannot start, 2 for wrong arguments or settings.
+ */
+package org.toucanspur.daemon
+
+import com.github.michaelbull.result.fold
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
+import kotlinx.coroutines.runBlocking
+import org.toucanspur.core.config.checkSettings
+import org.toucanspur.daemon.agent.AgentNode
+import org.toucanspur.daemon.entry.EntryNode
+import org.toucanspur.schema.DaemonConfiguration
+import org.toucanspur.schema.DaemonRole
+import org.toucanspur.schema.LogFormat
+
+private const val EXIT_FAILED = 1
+private const val EXIT_USAGE = 2
+private const val USAGE = "usage: toucanspurd --settings FILE.ini"
+
+/** A running process of either role. */
+class RunningDaemon(val shutdown: suspend () -> Unit)
+
+/** Starts the role that [settings] name. */
+suspend fun startDaemon(settings: DaemonConfiguration): RunningDaemon {
+    val base = ProcessBase(settings)
+    return when (settings.daemon.role) {
+        DaemonRole.ENTRY -> EntryNode(base).let { node ->
+            node.start()
+            RunningDaemon(node::shutdown)
+        }
+        DaemonRole.AGENT -> AgentNode(base).let { node ->
+            node.start()
+            RunningDaemon(node::shutdown)
+        }
+    }
+}
+
+/** Entry point of the daemon. */
+fun main(args: Array<String>) {
+    val settings = readSettings(args)
+    System.setProperty(
+        "toucanspur.log.format",
+        if (settings.log.format ==
+            LogFormat.JSON
+        ) {
+            "JSON"
+        } else {
+            "TEXT"
+        }
+    )
+    val daemon = try {
+        runBlocking { startDaemon(settings) }
+    } catch (e: IOException) {
+        System.err.println("toucanspurd: listening failed (${e.message}); check section [listen]")
+        exitProcess(EXIT_FAILED)
+    }
+    val stopped = CountDownLatch(1)
+    Runtime.getRuntime().addShutdownHook(
+        Thread {
+            runBlocking { daemon.shutdown() }
+            stopped.countDown()
+        }
+    )
+    stopped.await()
+}
+
+private fun readSettings(args: Array<String>): DaemonConfiguration {
+    if (args.size != 2 || args[0] != "--settings") {
+        System.err.println(USAGE)
+        exitProcess(EXIT_USAGE)
+    }
+    val text = try {
+        Files.readString(Path.of(args[1]))
+    } catch (e: IOException) {
+        System.err.println("${args[1]}:1: file is not readable (${e.message}); check the path")
+        exitProcess(EXIT_USAGE)
+    }
+    return checkSettings(args[1], text).fold(
+        success = { it },
+        failure = { findings ->
+            findings.forEach { System.err.println(it.render()) }
+            exitProcess(EXIT_USAGE)
+        }
+    )
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/ProcessBase.kt
@@ -0,0 +1,125 @@
+/*
+ * What both roles of the daemon share: identity, clients of the platform, the document, the VM
+ * list and the peer network.
+ */
+package org.toucanspur.daemon
+
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.launch
+import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.membership.heartbeatPaceMillis
+import org.toucanspur.core.platform.ObjectStore
+import org.toucanspur.core.platform.VmList
+import org.toucanspur.daemon.config.DocumentService
+import org.toucanspur.daemon.log.EventLog
+import org.toucanspur.daemon.platform.HttpObjectStore
+import org.toucanspur.daemon.platform.HttpVmList
+import org.toucanspur.daemon.platform.platformHttpClient
+import org.toucanspur.daemon.transport.Handshake
+import org.toucanspur.daemon.transport.PeerConnection
+import org.toucanspur.daemon.transport.PeerContext
+import org.toucanspur.daemon.transport.ProcessIdentity
+import org.toucanspur.schema.DaemonConfiguration
+import org.toucanspur.schema.DaemonRole
+import org.toucanspur.schema.Incarnation
+import org.toucanspur.schema.Revision
+import org.toucanspur.schema.VmRecord
+import org.toucanspur.schema.VmRole
+
+/** Shared parts of one process; [scope] ends with it. */
+class ProcessBase(val settings: DaemonConfiguration, isEventLogEnabled: Boolean = true) :
+    PeerContext {
+    /** Scope of everything that runs in the process. */
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+
+    /** Identity towards peers; the start time serves as the incarnation. */
+    val identity = ProcessIdentity(
+        settings.daemon.vm,
+        Incarnation(wallMillis()),
+        if (settings.daemon.role == DaemonRole.ENTRY) VmRole.ENTRY else VmRole.AGENT
+    )
+
+    /** Events of the process. */
+    val events = EventLog(settings.daemon.vm, settings.log.eventsKept, isEventLogEnabled)
+
+    /** Metrics of the process. */
+    val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    /** Client of the platform's services. */
+    val http = platformHttpClient(settings.platform.timeoutMillis.toLong())
+
+    /** The object API. */
+    val store: ObjectStore = HttpObjectStore(http, settings.platform.objectApiUrl)
+
+    /** The document in force. */
+    val documents = DocumentService(settings.daemon.vm, settings.daemon.environment, store, events)
+
+    /** Handshakes of the process. */
+    val handshake = Handshake(identity, settings.keys)
+
+    /** Open peer connections, which set the pace of heartbeats. */
+    val connections = AtomicInteger(0)
+
+    private val vmList: VmList = HttpVmList(http, settings.platform.vmListUrl)
+    private val listedVms = MutableStateFlow<List<VmRecord>>(emptyList())
+
+    /** The VM list as last read. */
+    val vms: StateFlow<List<VmRecord>> get() = listedVms
+
+    override val silenceMillis: Long get() = settings.streams.silenceMillis.toLong()
+
+    override val idlePaceMillis: Long get() = heartbeatPaceMillis(connections.get())
+
+    override val revision: Revision get() = documents.revision
+
+    override val hybridMillis: Long get() = events.clock.tick().wallMillis
+
+    override suspend fun onHeartbeat(
+        connection: PeerConnection,
+        revision: Revision,
+        wallMillis: Long
+    ) {
+        events.clock.observe(wallMillis)
+        documents.onRevision(connection, revision)
+    }
+
+    /** Starts following the document and the VM list. */
+    fun start() {
+        events.event(EventCode.STARTED) {
+            "${settings.daemon.role}, zone ${settings.daemon.zone}, life ${identity.incarnation}"
+        }
+        documents.start(scope)
+        scope.launch { pollVmList() }
+    }
+
+    private suspend fun pollVmList() {
+        while (true) {
+            vmList.read()
+                .onSuccess {
+                    documents.onVmList(it)
+                    listedVms.value = it
+                }
+                .onFailure {
+                    events.event(EventCode.OBJECT_API_UNAVAILABLE) { "VM list: ${it.message}" }
+                }
+            delay(settings.platform.vmListPollMillis.toLong())
+        }
+    }
+
+    /** Ends everything that runs in the process. */
+    fun close() {
+        scope.cancel()
+        http.close()
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/EndpointClient.kt
@@ -0,0 +1,194 @@
+/*
+ * Calls the endpoint beside the agent. The JDK's HTTP client is used here because it reads from
+ * the connection only as much as is asked for; see docs/decisions/0003-bounded-streams.md.
+ */
+package org.toucanspur.daemon.agent
+
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.nio.ByteBuffer
+import java.time.Duration
+import java.util.concurrent.Flow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.future.await
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.toucanspur.schema.FencingNumber
+import org.toucanspur.schema.HeaderField
+import org.toucanspur.schema.ReleaseDigest
+
+private const val CONNECT_TIMEOUT_MILLIS = 1000L
+private const val STATUS_TIMEOUT_MILLIS = 2000L
+
+/** Header that asks an engine to continue an answer from a byte offset. */
+const val RESUME_OFFSET_HEADER = "Toucanspur-Resume-Offset"
+
+private val droppedRequestHeaders = setOf(
+    "connection", "content-length", "expect", "host", "upgrade", "transfer-encoding",
+    "keep-alive", "te", "trailer", "proxy-authorization", "proxy-connection", "accept-encoding"
+)
+private val droppedResponseHeaders = setOf(
+    "connection",
+    "content-length",
+    "transfer-encoding",
+    "keep-alive",
+    "upgrade",
+    "trailer",
+    ":status"
+)
+
+/** A call to the endpoint. */
+class EndpointCall(
+    val method: String,
+    val path: String,
+    val headers: List<HeaderField>,
+    val body: ByteArray,
+    val resumeOffset: Long,
+    val timeoutMillis: Long
+)
+
+/** Bytes of an answer, read on demand. */
+interface BodySource {
+    /** The next bytes, or null at the end; throws [IOException] when the endpoint broke off. */
+    suspend fun next(): ByteArray?
+
+    /** Breaks the call off. */
+    fun cancel()
+}
+
+/** An answer whose body is still to be read. */
+class EndpointAnswer(val head: AnswerHead, val body: BodySource)
+
+/** What an engine reports about itself. */
+@Serializable
+data class EngineStatus(val life: Long, val loaded: ReleaseDigest? = null)
+
+/** An order to load a release whose chunks are at [source]. */
+@Serializable
+data class LoadOrder(val release: ReleaseDigest, val fencing: FencingNumber, val source: String)
+
+/** Calls one endpoint; throws [IOException] when it does not answer. */
+class EndpointClient(private val baseUrl: String) {
+    private val client = HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
+        .build()
+
+    /** Sends [call] and returns when the head of the answer is there. */
+    suspend fun open(call: EndpointCall): EndpointAnswer {
+        val request = HttpRequest.newBuilder(URI(baseUrl + call.path))
+            .method(call.method, HttpRequest.BodyPublishers.ofByteArray(call.body))
+            .timeout(Duration.ofMillis(maxOf(1, call.timeoutMillis)))
+        call.headers.filter { it.name.lowercase() !in droppedRequestHeaders }
+            .forEach { request.header(it.name, it.value) }
+        if (call.resumeOffset >
+            0
+        ) {
+            request.header(RESUME_OFFSET_HEADER, call.resumeOffset.toString())
+        }
+        val response = client.sendAsync(
+            request.build(),
+            HttpResponse.BodyHandlers.ofPublisher()
+        ).await()
+        val source = DemandSource()
+        response.body().subscribe(source)
+        return EndpointAnswer(AnswerHead(response.statusCode(), relayedHeaders(response)), source)
+    }
+
+    private fun relayedHeaders(response: HttpResponse<*>): List<HeaderField> =
+        response.headers().map().entries
+            .filter { it.key.lowercase() !in droppedResponseHeaders }
+            .flatMap { (name, values) -> values.map { HeaderField(name, it) } }
+
+    /** Status of the engine. */
+    suspend fun status(): EngineStatus {
+        val request = HttpRequest.newBuilder(URI("$baseUrl/admin/status"))
+            .timeout(Duration.ofMillis(STATUS_TIMEOUT_MILLIS))
+            .build()
+        val response = client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).await()
+        return try {
+            Json.decodeFromString<EngineStatus>(response.body())
+        } catch (e: SerializationException) {
+            throw IOException("engine status is malformed: ${e.message}", e)
+        }
+    }
+
+    /** Whether a plain service answers. */
+    suspend fun isHealthy(): Boolean = try {
+        val request = HttpRequest.newBuilder(URI("$baseUrl/health"))
+            .timeout(Duration.ofMillis(STATUS_TIMEOUT_MILLIS))
+            .build()
+        client.sendAsync(request, HttpResponse.BodyHandlers.discarding()).await().statusCode() <
+            HTTP_ERROR
+    } catch (_: IOException) {
+        false
+    }
+
+    /** Gives a load order; returns when the engine has answered it. */
+    suspend fun load(order: LoadOrder, timeoutMillis: Long) {
+        val request = HttpRequest.newBuilder(URI("$baseUrl/admin/load"))
+            .timeout(Duration.ofMillis(timeoutMillis))
+            .header("Content-Type", "application/json")
+            .POST(
+                HttpRequest.BodyPublishers.ofString(
+                    Json.encodeToString(LoadOrder.serializer(), order)
+                )
+            )
+            .build()
+        client.sendAsync(request, HttpResponse.BodyHandlers.discarding()).await()
+    }
+
+    private companion object {
+        const val HTTP_ERROR = 400
+    }
+}
+
+// Asks the publisher for one item at a time, so that a slow reader stops the connection.
+private class DemandSource :
+    Flow.Subscriber<List<ByteBuffer>>,
+    BodySource {
+    private val items = Channel<List<ByteBuffer>>(1)
+    private val subscribed = Channel<Flow.Subscription>(1)
+
+    @Volatile
+    private var subscription: Flow.Subscription? = null
+
+    override fun onSubscribe(newSubscription: Flow.Subscription) {
+        subscription = newSubscription
+        subscribed.trySend(newSubscription)
+    }
+
+    override fun onNext(item: List<ByteBuffer>) {
+        items.trySend(item)
+    }
+
+    override fun onError(throwable: Throwable) {
+        items.close(IOException("endpoint broke off: ${throwable.message}", throwable))
+    }
+
+    override fun onComplete() {
+        items.close()
+    }
+
+    override suspend fun next(): ByteArray? {
+        val current = subscription ?: subscribed.receive()
+        current.request(1)
+        val buffers = items.receiveCatching()
+        buffers.exceptionOrNull()?.let { throw it }
+        return buffers.getOrNull()?.let(::join)
+    }
+
+    private fun join(buffers: List<ByteBuffer>): ByteArray {
+        val joined = ByteBuffer.allocate(buffers.sumOf { it.remaining() })
+        buffers.forEach { joined.put(it) }
+        return joined.array()
+    }
+
+    override fun cancel() {
+        subscription?.cancel()
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/OrderService.kt
@@ -0,0 +1,156 @@
+/*
+ * Runs the order machine of one endpoint: performs its calls to the object API and to the engine
+ * and feeds the results back, one input at a time.
+ */
+package org.toucanspur.daemon.agent
+
+import com.github.michaelbull.result.fold
+import java.io.IOException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.events.EventSubject
+import org.toucanspur.core.platform.ABSENT_VERSION
+import org.toucanspur.core.platform.ObjectStore
+import org.toucanspur.core.platform.StoreError
+import org.toucanspur.core.weights.OrderEffect
+import org.toucanspur.core.weights.OrderInput
+import org.toucanspur.core.weights.OrderMachine
+import org.toucanspur.core.weights.OrderTiming
+import org.toucanspur.daemon.log.EventLog
+import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.daemon.transport.ProcessIdentity
+import org.toucanspur.schema.LeaseRecord
+import org.toucanspur.schema.ReleaseDigest
+
+private const val TICK_MILLIS = 200L
+private const val INPUTS_MAX = 64
+
+/** Lease and load orders of the endpoint beside the agent. */
+class OrderService(
+    identity: ProcessIdentity,
+    private val timing: OrderTiming,
+    private val leaseKey: String,
+    private val store: ObjectStore,
+    private val endpoint: EndpointClient,
+    private val source: String,
+    private val events: EventLog
+) {
+    private val machine = OrderMachine(identity.vm, identity.incarnation, timing)
+    private val inputs = Channel<OrderInput>(INPUTS_MAX)
+    private val routableRelease = MutableStateFlow<ReleaseDigest?>(null)
+    private val engineLife = MutableStateFlow<Long?>(null)
+
+    /** Release under which the endpoint may be routed to. */
+    val routable: StateFlow<ReleaseDigest?> get() = routableRelease
+
+    /** Life of the engine as last read; a change means that it was restarted. */
+    val engine: StateFlow<Long?> get() = engineLife
+
+    /** Starts the machine. */
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (true) {
+                inputs.send(OrderInput.Tick)
+                delay(TICK_MILLIS)
+            }
+        }
+        scope.launch {
+            for (input in inputs) {
+                machine.on(input, monotonicMillis()).forEach { perform(it, scope) }
+            }
+        }
+    }
+
+    /** Sets the release that the endpoint should serve; its chunks must all be here. */
+    suspend fun setTarget(release: ReleaseDigest?) = inputs.send(OrderInput.Target(release))
+
+    private fun perform(effect: OrderEffect, scope: CoroutineScope) {
+        when (effect) {
+            is OrderEffect.Routable -> setRoutable(effect.release)
+            is OrderEffect.ReadLease -> scope.launch { inputs.send(readLease()) }
+            is OrderEffect.WriteLease -> scope.launch { inputs.send(writeLease(effect)) }
+            is OrderEffect.Load -> scope.launch { load(effect) }
+            is OrderEffect.AskLoaded -> scope.launch { inputs.send(readBack()) }
+        }
+    }
+
+    private fun setRoutable(release: ReleaseDigest?) {
+        val before = routableRelease.value
+        routableRelease.value = release
+        if (release != null) {
+            events.event(EventCode.LOAD_CONFIRMED, EventSubject(release = release)) {
+                "engine confirmed the release"
+            }
+        } else if (before != null) {
+            events.event(EventCode.LOAD_LOST, EventSubject(release = before)) {
+                "endpoint left routing"
+            }
+        }
+    }
+
+    private suspend fun readLease(): OrderInput = store.read(leaseKey).fold(
+        success = { record ->
+            val lease = record?.let { decode(it.value) }
+            OrderInput.LeaseRead(lease, record?.version ?: ABSENT_VERSION)
+        },
+        failure = { OrderInput.LeaseUnknown }
+    )
+
+    private fun decode(value: String): LeaseRecord? = try {
+        Json.decodeFromString<LeaseRecord>(value)
+    } catch (e: SerializationException) {
+        events.event(EventCode.LEASE_LOST) {
+            "object $leaseKey is malformed and is replaced: ${e.message}"
+        }
+        null
+    }
+
+    private suspend fun writeLease(effect: OrderEffect.WriteLease): OrderInput {
+        val value = Json.encodeToString(LeaseRecord.serializer(), effect.record)
+        return store.write(leaseKey, value, effect.expectedVersion).fold(
+            success = { version ->
+                if (effect.expectedVersion == ABSENT_VERSION ||
+                    effect.record.fencing != machine.fencing
+                ) {
+                    events.event(EventCode.LEASE_ACQUIRED) {
+                        "fencing number ${effect.record.fencing}"
+                    }
+                }
+                OrderInput.LeaseWritten(effect.record, version)
+            },
+            failure = {
+                if (it !is StoreError.Unavailable) events.event(EventCode.LEASE_LOST) { it.message }
+                OrderInput.LeaseUnknown
+            }
+        )
+    }
+
+    private suspend fun load(effect: OrderEffect.Load) {
+        events.event(EventCode.LOAD_ORDERED, EventSubject(release = effect.release)) {
+            "fencing number ${effect.fencing}"
+        }
+        try {
+            endpoint.load(LoadOrder(effect.release, effect.fencing, source), timing.leaseMillis)
+        } catch (e: IOException) {
+            events.event(EventCode.LOAD_LOST, EventSubject(release = effect.release)) {
+                "engine did not answer the order: ${e.message}"
+            }
+        }
+        inputs.send(OrderInput.OrderAnswered)
+    }
+
+    private suspend fun readBack(): OrderInput = try {
+        val status = endpoint.status()
+        engineLife.value = status.life
+        OrderInput.ReadBack(status.loaded)
+    } catch (_: IOException) {
+        OrderInput.EngineUnreachable
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/ReleaseTransfer.kt
@@ -0,0 +1,286 @@
+/*
+ * The transfer of one release to one agent: first the manifest, then the chunks as the planner
+ * decides.
+ */
+package org.toucanspur.daemon.agent
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
+import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.events.EventSubject
+import org.toucanspur.core.membership.rendezvousRank
+import org.toucanspur.core.platform.WeightStore
+import org.toucanspur.core.weights.ChunkRef
+import org.toucanspur.core.weights.ChunkSource
+import org.toucanspur.core.weights.ExchangeEffect
+import org.toucanspur.core.weights.ExchangeLimits
+import org.toucanspur.core.weights.ExchangePlanner
+import org.toucanspur.core.weights.Manifest
+import org.toucanspur.core.weights.ManifestAssembler
+import org.toucanspur.daemon.log.EventLog
+import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.schema.ChunkDigest
+import org.toucanspur.schema.ChunkRequest
+import org.toucanspur.schema.Got
+import org.toucanspur.schema.Have
+import org.toucanspur.schema.ReleaseDigest
+import org.toucanspur.schema.VmId
+
+private const val BLOB_PEER_TIMEOUT_MILLIS = 1000L
+private const val MANIFEST_RETRY_MILLIS = 200L
+private const val PLAN_MILLIS = 100L
+
+/** How far a transfer has come. */
+data class TransferProgress(val chunksHeld: Int, val chunksTotal: Int) {
+    val isComplete: Boolean get() = chunksTotal > 0 && chunksHeld == chunksTotal
+}
+
+/** What a transfer shares with the others of its agent. */
+class TransferContext(
+    val self: VmId,
+    val scope: CoroutineScope,
+    val store: WeightStore,
+    val memory: ChunkMemory,
+    val download: RateLimiter,
+    val limits: ExchangeLimits,
+    val links: PeerLinks,
+    val events: EventLog
+)
+
+/** Transfers [release]; [members] are the VMs of the region that want it. */
+class ReleaseTransfer(
+    val release: ReleaseDigest,
+    private val context: TransferContext,
+    @Volatile private var members: List<VmId>
+) {
+    private val mutex = Mutex()
+    private val assembler = ManifestAssembler(release)
+    private val manifestBlobs = ConcurrentHashMap<ChunkDigest, ByteArray>()
+    private val blobWaiters = ConcurrentHashMap<ChunkDigest, CompletableDeferred<ByteArray>>()
+    private val earlyBitmaps = ConcurrentHashMap<VmId, ByteArray>()
+    private val startMillis = monotonicMillis()
+    private val state = MutableStateFlow(TransferProgress(0, 0))
+    private var chunks: List<ChunkRef> = emptyList()
+    private var indexOf: Map<ChunkDigest, Int> = emptyMap()
+    private var planner: ExchangePlanner? = null
+    private var isMemoryReported = false
+    private val subject = EventSubject(release = release)
+
+    /** The manifest, once known. */
+    @Volatile
+    var manifest: Manifest? = null
+        private set
+
+    /** Progress of the transfer. */
+    val progress: MutableStateFlow<TransferProgress> get() = state
+
+    /** Digests of all chunks, once the manifest is known. */
+    fun chunkDigests(): Set<ChunkDigest> = indexOf.keys
+
+    /** Runs the transfer until it is cancelled. */
+    suspend fun run() {
+        context.events.event(EventCode.RELEASE_FETCH_STARTED, subject) { "release ${short()}" }
+        fetchManifest()
+        startPlanner()
+        while (true) {
+            plan()
+            delay(PLAN_MILLIS)
+        }
+    }
+
+    /** Takes over the VMs of the region that want the release. */
+    suspend fun setMembers(vms: List<VmId>) {
+        members = vms
+        mutex.withLock { planner?.setMembers(vms) }
+    }
+
+    private suspend fun fetchManifest() {
+        val rank = rendezvousRank(release.value, members + context.self, members.size + 1) {
+            it.value
+        }
+            .indexOf(context.self)
+        while (true) {
+            val missing = assembler.missing()
+            if (missing.isEmpty()) break
+            val mayImport =
+                rank == 0 ||
+                    monotonicMillis() - startMillis > rank * context.limits.importTimeoutMillis
+            missing.forEach { fetchBlob(it, mayImport) }
+            if (assembler.missing().isNotEmpty()) delay(MANIFEST_RETRY_MILLIS)
+        }
+    }
+
+    private suspend fun fetchBlob(digest: ChunkDigest, mayImport: Boolean) {
+        val blob =
+            fromPeers(digest) ?: if (mayImport) context.store.fetch(digest.value).get() else null
+        if (blob == null) return
+        assembler.add(digest, blob)
+            .onSuccess { manifestBlobs[digest] = blob }
+            .onFailure { context.events.event(EventCode.CHUNK_CORRUPT, subject) { it.message } }
+    }
+
+    private suspend fun fromPeers(digest: ChunkDigest): ByteArray? {
+        val waiter = blobWaiters.computeIfAbsent(digest) { CompletableDeferred() }
+        val peer = context.links.randomPeer() ?: return null
+        context.links.send(peer, ChunkRequest(release, digest))
+        val blob = withTimeoutOrNull(BLOB_PEER_TIMEOUT_MILLIS) { waiter.await() }
+        blobWaiters.remove(digest)
+        return blob?.takeIf { it.isNotEmpty() }
+    }
+
+    private suspend fun startPlanner() {
+        val known = assembler.assemble().fold(
+            success = { it },
+            failure = {
+                context.events.event(EventCode.CHUNK_CORRUPT, subject) { it.message }
+                null
+            }
+        ) ?: return
+        mutex.withLock {
+            chunks = known.distinctChunks()
+            indexOf = chunks.withIndex().associate { (index, chunk) -> chunk.digest to index }
+            val created =
+                ExchangePlanner(
+                    release,
+                    context.self,
+                    chunks.size,
+                    context.limits,
+                    monotonicMillis()
+                )
+            created.addHeld(chunks.indices.filter { context.memory.contains(chunks[it].digest) })
+            created.setMembers(members)
+            earlyBitmaps.forEach { (vm, bitmap) ->
+                created.onPeerBitmap(vm, bitmap, monotonicMillis())
+            }
+            planner = created
+            manifest = known
+        }
+        updateProgress()
+        context.links.broadcast(Have(release, bitmap()))
+    }
+
+    /** Bitmap of the chunks held. */
+    suspend fun bitmap(): ByteArray = mutex.withLock { planner?.bitmap() ?: ByteArray(0) }
+
+    /** Records what a neighbour holds. */
+    suspend fun onHave(vm: VmId, bitmap: ByteArray) {
+        mutex.withLock {
+            val current = planner
+            if (current ==
+                null
+            ) {
+                earlyBitmaps[vm] = bitmap
+            } else {
+                current.onPeerBitmap(vm, bitmap, monotonicMillis())
+            }
+        }
+        plan()
+    }
+
+    /** Records one more chunk that a neighbour holds. */
+    suspend fun onGot(vm: VmId, index: Int) {
+        mutex.withLock { planner?.onPeerChunk(vm, index, monotonicMillis()) }
+        plan()
+    }
+
+    /** Forgets a neighbour. */
+    suspend fun onPeerLost(vm: VmId) {
+        earlyBitmaps.remove(vm)
+        mutex.withLock { planner?.onPeerLost(vm) }
+    }
+
+    /** Accepts a chunk or manifest blob that a neighbour sent; no bytes mean it has none. */
+    suspend fun onData(vm: VmId, digest: ChunkDigest, bytes: ByteArray) {
+        blobWaiters[digest]?.complete(bytes)
+        val index = indexOf[digest] ?: return
+        accept(index, bytes, "peer $vm")
+    }
+
+    /** A manifest blob or chunk for a neighbour; empty when it is not here. */
+    fun serve(digest: ChunkDigest): ByteArray =
+        manifestBlobs[digest] ?: context.memory.get(digest) ?: ByteArray(0)
+
+    private suspend fun plan() {
+        val effects = mutex.withLock { planner?.plan(monotonicMillis()).orEmpty() }
+        effects.forEach { apply(it) }
+    }
+
+    private suspend fun apply(effect: ExchangeEffect) {
+        when (effect) {
+            is ExchangeEffect.Fetch -> context.scope.launch { fetch(effect) }
+            is ExchangeEffect.Announce -> context.links.broadcast(Got(release, effect.index))
+            is ExchangeEffect.Complete -> context.events.event(
+                EventCode.RELEASE_COMPLETE,
+                subject
+            ) {
+                "release ${short()}: ${chunks.size} chunks in ${monotonicMillis() - startMillis} ms"
+            }
+        }
+    }
+
+    private suspend fun fetch(effect: ExchangeEffect.Fetch) {
+        val chunk = chunks[effect.index]
+        context.download.acquire(chunk.sizeBytes)
+        when (val source = effect.source) {
+            is ChunkSource.Store -> {
+                val bytes = context.store.fetch(chunk.digest.value).get() ?: ByteArray(0)
+                accept(effect.index, bytes, "weight store")
+            }
+            is ChunkSource.Peer -> {
+                val isSent = context.links.send(source.vm, ChunkRequest(release, chunk.digest))
+                if (!isSent) accept(effect.index, ByteArray(0), "peer ${source.vm}")
+            }
+        }
+    }
+
+    private suspend fun accept(index: Int, bytes: ByteArray, source: String) {
+        val put = if (bytes.isEmpty()) null else context.memory.put(chunks[index].digest, bytes)
+        val effects = mutex.withLock {
+            val current = planner ?: return
+            if (put == ChunkPut.STORED) {
+                current.onVerified(index, monotonicMillis())
+            } else {
+                current.onFailed(index, put == ChunkPut.CORRUPT, monotonicMillis())
+                emptyList()
+            }
+        }
+        report(put, index, source)
+        effects.forEach { apply(it) }
+        updateProgress()
+        plan()
+    }
+
+    private fun report(put: ChunkPut?, index: Int, source: String) {
+        if (put == ChunkPut.CORRUPT) {
+            context.events.event(EventCode.CHUNK_CORRUPT, subject) { "chunk $index from $source" }
+        }
+        if (put == ChunkPut.FULL && !isMemoryReported) {
+            isMemoryReported = true
+            context.events.event(EventCode.CHUNK_MEMORY_FULL, subject) {
+                "release ${short()} does not fit; raise memory-mib in section [weights]"
+            }
+        }
+    }
+
+    private suspend fun updateProgress() {
+        val held = mutex.withLock { planner?.heldCount ?: 0 }
+        state.value = TransferProgress(held, chunks.size)
+    }
+
+    private fun short(): String = release.value.take(SHORT_DIGEST_CHARS)
+
+    private companion object {
+        const val SHORT_DIGEST_CHARS = 12
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/WeightService.kt
@@ -0,0 +1,124 @@
+/*
+ * Keeps the releases that the document asks of this agent: transfers them, serves them to
+ * neighbours and to the local engine, and drops what nobody needs.
+ */
+package org.toucanspur.daemon.agent
+
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.events.EventSubject
+import org.toucanspur.core.platform.WeightStore
+import org.toucanspur.core.weights.ExchangeLimits
+import org.toucanspur.core.weights.Manifest
+import org.toucanspur.daemon.log.EventLog
+import org.toucanspur.daemon.transport.PeerConnection
+import org.toucanspur.schema.ChunkData
+import org.toucanspur.schema.ChunkDigest
+import org.toucanspur.schema.ChunkRequest
+import org.toucanspur.schema.Frame
+import org.toucanspur.schema.Got
+import org.toucanspur.schema.Have
+import org.toucanspur.schema.ReleaseDigest
+import org.toucanspur.schema.VmId
+import org.toucanspur.schema.WeightsSection
+
+private const val BYTES_PER_MIB = 1024L * 1024
+
+/** Releases of one agent. */
+class WeightService(
+    self: VmId,
+    private val scope: CoroutineScope,
+    store: WeightStore,
+    settings: WeightsSection,
+    private val links: PeerLinks,
+    private val events: EventLog
+) {
+    private val rate = shareBytesPerSecond(settings.linkMbit, settings.sharePercent)
+    private val upload = RateLimiter(rate)
+    private val memory = ChunkMemory(settings.memoryMib * BYTES_PER_MIB)
+    private val transfers = ConcurrentHashMap<ReleaseDigest, Running>()
+    private val context = TransferContext(
+        self,
+        scope,
+        store,
+        memory,
+        RateLimiter(rate),
+        ExchangeLimits(
+            neighbours = settings.neighbours,
+            importTimeoutMillis = settings.importTimeoutMillis.toLong()
+        ),
+        links,
+        events
+    )
+
+    /** Bytes of chunks in memory. */
+    val heldBytes: Long get() = memory.heldBytes()
+
+    /** Keeps exactly [releases]; each is exchanged with the VMs that want it too. */
+    suspend fun keep(releases: Map<ReleaseDigest, List<VmId>>) {
+        (transfers.keys - releases.keys).forEach(::drop)
+        releases.forEach { (release, members) ->
+            val running = transfers[release]
+            if (running == null) start(release, members) else running.transfer.setMembers(members)
+        }
+    }
+
+    private fun start(release: ReleaseDigest, members: List<VmId>) {
+        val transfer = ReleaseTransfer(release, context, members)
+        transfers[release] = Running(transfer, scope.launch { transfer.run() })
+    }
+
+    private fun drop(release: ReleaseDigest) {
+        transfers.remove(release)?.job?.cancel()
+        memory.retain(transfers.values.flatMap { it.transfer.chunkDigests() }.toSet())
+        events.event(EventCode.RELEASE_DROPPED, EventSubject(release = release)) {
+            "no longer needed"
+        }
+    }
+
+    /** Progress of [release], or null when it is not kept. */
+    fun progress(release: ReleaseDigest): TransferProgress? =
+        transfers[release]?.transfer?.progress?.value
+
+    /** The manifest of [release], once known. */
+    fun manifest(release: ReleaseDigest): Manifest? = transfers[release]?.transfer?.manifest
+
+    /** A verified chunk, or null when it is not here. */
+    fun chunk(digest: ChunkDigest): ByteArray? = memory.get(digest)
+
+    /** Tells a new neighbour what is here. */
+    suspend fun onOpen(connection: PeerConnection) {
+        transfers.values.forEach {
+            connection.send(Have(it.transfer.release, it.transfer.bitmap()))
+        }
+    }
+
+    /** Forgets a neighbour. */
+    suspend fun onClosed(vm: VmId) {
+        transfers.values.forEach { it.transfer.onPeerLost(vm) }
+    }
+
+    /** Handles frames that concern weights; returns false for all others. */
+    suspend fun onFrame(connection: PeerConnection, frame: Frame): Boolean {
+        val vm = connection.peer.vm
+        when (frame) {
+            is Have -> transfers[frame.release]?.transfer?.onHave(vm, frame.bitmap)
+            is Got -> transfers[frame.release]?.transfer?.onGot(vm, frame.chunk)
+            is ChunkRequest -> scope.launch { serve(vm, frame) }
+            is ChunkData -> transfers[frame.release]?.transfer?.onData(vm, frame.chunk, frame.bytes)
+            else -> return false
+        }
+        return true
+    }
+
+    private suspend fun serve(vm: VmId, request: ChunkRequest) {
+        val bytes = transfers[request.release]?.transfer?.serve(request.chunk) ?: ByteArray(0)
+        upload.acquire(bytes.size)
+        links.send(vm, ChunkData(request.release, request.chunk, bytes))
+    }
+
+    private class Running(val transfer: ReleaseTransfer, val job: Job)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/entry/CallerRoutes.kt
@@ -0,0 +1,355 @@
+/*
+ * What callers see: chat completions, the list of models and plain services.
+ */
+package org.toucanspur.daemon.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.receiveChannel
+import io.ktor.server.request.uri
+import io.ktor.server.response.respond
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import io.ktor.utils.io.readRemaining
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.readByteArray
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.events.EventSubject
+import org.toucanspur.daemon.log.EventLog
+import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.schema.Delivery
+import org.toucanspur.schema.EnvironmentConfiguration
+import org.toucanspur.schema.HeaderField
+import org.toucanspur.schema.ModelId
+import org.toucanspur.schema.OrganisationId
+import org.toucanspur.schema.OrganisationPriority
+import org.toucanspur.schema.PoolSection
+import org.toucanspur.schema.Priority
+import org.toucanspur.schema.Ran
+import org.toucanspur.schema.RequestId
+
+/** Header that names the caller's organisation. */
+const val ORGANISATION_HEADER = "Toucanspur-Organisation"
+
+/** Header that bounds the time of a request in milliseconds. */
+const val DEADLINE_HEADER = "Toucanspur-Deadline-Millis"
+
+/** Header that carries the request id back to the caller. */
+const val REQUEST_ID_HEADER = "Toucanspur-Request-Id"
+
+/** Header with the caller's idempotency key. */
+const val KEY_HEADER = "Idempotency-Key"
+
+private const val BYTES_PER_KIB = 1024L
+private const val KEY_MAX_CHARS = 255
+private const val PREFIX_CHARS = 512
+private const val BODY_TIMEOUT_MILLIS = 30_000L
+private val climbing = Regex("(^|/)\\.\\.?(/|$)|\\\\|%2e|%2f|%5c|%00|//", RegexOption.IGNORE_CASE)
+private val keyPattern = Regex("[\\x21-\\x7e]{1,$KEY_MAX_CHARS}")
+
+/** What the routes need of their entry. */
+interface CallerContext {
+    /** Dispatcher of the entry. */
+    val dispatcher: Dispatcher
+
+    /** Events of the process. */
+    val events: EventLog
+
+    /** Configuration in force, or null before the first document. */
+    fun configuration(): EnvironmentConfiguration?
+
+    /** Counts a request as open until [block] returns; refuses when the entry is leaving. */
+    suspend fun track(block: suspend () -> Unit): Boolean
+}
+
+/** Adds the routes of callers. */
+fun Route.callerRoutes(context: CallerContext) {
+    val handler = CallerHandler(context)
+    post("/v1/chat/completions") { handler.handle(call, handler::chat) }
+    get("/v1/models") { handler.models(call) }
+    route("/services/{name}/{path...}") { handle { handler.handle(call, handler::service) } }
+}
+
+private typealias Parser = suspend (ApplicationCall, Draft) -> Result<CallerRequest, Problem>
+
+/** What is known of a request before its target. */
+private class Draft(
+    val id: RequestId,
+    val configuration: EnvironmentConfiguration,
+    val organisation: OrganisationId,
+    val priority: Priority,
+    val body: ByteArray,
+    val deadlineMillis: Long
+)
+
+private class CallerHandler(private val context: CallerContext) {
+    suspend fun handle(call: ApplicationCall, parser: Parser) {
+        val id = newRequestId()
+        call.response.headers.append(REQUEST_ID_HEADER, id.value)
+        val accepted = context.track {
+            draft(call, id).fold(
+                success = { draft ->
+                    parser(call, draft).fold(
+                        success = { answer(call, it) },
+                        failure = { refuse(call, it, id) }
+                    )
+                },
+                failure = { refuse(call, it, id) }
+            )
+        }
+        if (!accepted) {
+            refuse(
+                call,
+                Problem(
+                    ProblemKind.UNAVAILABLE,
+                    "the entry is leaving; retry",
+                    retryAfterMillis = 1
+                ),
+                id
+            )
+        }
+    }
+
+    private suspend fun refuse(call: ApplicationCall, problem: Problem, id: RequestId) {
+        context.events.event(EventCode.REQUEST_REFUSED, EventSubject(requestId = id)) {
+            problem.detail
+        }
+        call.respondProblem(problem, id)
+    }
+
+    private suspend fun draft(call: ApplicationCall, id: RequestId): Result<Draft, Problem> {
+        val configuration = context.configuration()
+            ?: return Err(
+                Problem(
+                    ProblemKind.UNAVAILABLE,
+                    "no document is in force yet; retry",
+                    retryAfterMillis = 1
+                )
+            )
+        headerFault(call)?.let { return Err(bad(it)) }
+        val organisation = call.request.headers[ORGANISATION_HEADER].orEmpty()
+        val section = configuration.organisations.find { it.id.value == organisation }
+        if (section == null && configuration.organisations.isNotEmpty()) {
+            val detail = "organisation \"${printable(
+                organisation
+            )}\" is not declared; name yours in $ORGANISATION_HEADER"
+            return Err(Problem(ProblemKind.UNKNOWN_ORGANISATION, detail))
+        }
+        val maxBytes = configuration.environment.bodyMaxKib * BYTES_PER_KIB
+        val body = readBody(call, maxBytes)
+            ?: return Err(
+                Problem(
+                    ProblemKind.BODY_TOO_LARGE,
+                    "body exceeds $maxBytes bytes or came too slowly; send less"
+                )
+            )
+        val timeoutMillis = call.request.headers[DEADLINE_HEADER]?.toLongOrNull()
+            ?: configuration.environment.deadlineMillis.toLong()
+        return Ok(
+            Draft(
+                id,
+                configuration,
+                OrganisationId(organisation),
+                priorityOf(section?.priority),
+                body,
+                monotonicMillis() +
+                    timeoutMillis.coerceIn(1, configuration.environment.deadlineMillis.toLong())
+            )
+        )
+    }
+
+    private fun priorityOf(priority: OrganisationPriority?): Priority = when (priority) {
+        OrganisationPriority.HIGH -> Priority.HIGH
+        OrganisationPriority.LOW -> Priority.LOW
+        else -> Priority.NORMAL
+    }
+
+    private fun headerFault(call: ApplicationCall): String? {
+        val headers = call.request.headers
+        val lengths = headers.getAll(HttpHeaders.ContentLength).orEmpty()
+        val key = headers[KEY_HEADER]
+        val deadline = headers[DEADLINE_HEADER]
+        return when {
+            lengths.size > 1 -> "Content-Length appears twice; send it once"
+            lengths.isNotEmpty() && headers[HttpHeaders.TransferEncoding] != null ->
+                "Content-Length and Transfer-Encoding exclude each other; send one"
+            key != null && !keyPattern.matches(key) ->
+                "$KEY_HEADER takes 1 to $KEY_MAX_CHARS printable ASCII characters; encode it"
+            deadline != null && (deadline.toLongOrNull() ?: 0) <= 0 ->
+                "$DEADLINE_HEADER must be a positive number of milliseconds"
+            else -> null
+        }
+    }
+
+    private suspend fun readBody(call: ApplicationCall, maxBytes: Long): ByteArray? =
+        withTimeoutOrNull(BODY_TIMEOUT_MILLIS) {
+            val bytes = call.receiveChannel().readRemaining(maxBytes + 1).readByteArray()
+            bytes.takeIf { it.size <= maxBytes }
+        }
+
+    suspend fun chat(call: ApplicationCall, draft: Draft): Result<CallerRequest, Problem> {
+        val json = try {
+            Json.parseToJsonElement(draft.body.decodeToString()) as? JsonObject
+        } catch (_: SerializationException) {
+            null
+        } ?: return Err(bad("body is no JSON object; send {\"model\": ..., \"messages\": [...]}"))
+        val model = (json["model"] as? JsonPrimitive)?.takeIf { it.isString }?.contentOrNull
+            ?: return Err(bad("\"model\" is missing or no string; see GET /v1/models"))
+        val messages = json["messages"] as? JsonArray
+        if (messages.isNullOrEmpty()) {
+            return Err(
+                bad("\"messages\" is missing or empty; send at least one message")
+            )
+        }
+        val pool = draft.configuration.pools.find { it.model.value == model }
+            ?: return Err(
+                Problem(
+                    ProblemKind.NOT_FOUND,
+                    "model \"${printable(model)}\" is not served; see GET /v1/models"
+                )
+            )
+        return Ok(
+            request(
+                call,
+                draft,
+                pool,
+                "/v1/chat/completions",
+                Delivery.IDEMPOTENT,
+                messages.toString().take(PREFIX_CHARS)
+            )
+        )
+    }
+
+    suspend fun service(call: ApplicationCall, draft: Draft): Result<CallerRequest, Problem> {
+        val name = call.parameters["name"].orEmpty()
+        val service = draft.configuration.services.find { it.id == name }
+            ?: return Err(
+                Problem(
+                    ProblemKind.NOT_FOUND,
+                    "service \"${printable(name)}\" is not declared; check the path"
+                )
+            )
+        val pool = draft.configuration.pools.find { it.id == service.pool }
+            ?: return Err(
+                Problem(ProblemKind.NOT_FOUND, "service \"$name\" has no pool; check the document")
+            )
+        val path = call.request.uri.removePrefix("/services/$name")
+        if (climbing.containsMatchIn(path.substringBefore('?'))) {
+            return Err(bad("path holds dots, double or encoded slashes; send a plain path"))
+        }
+        val method = call.request.httpMethod.value
+        val isAtMostOnce = service.atMostOnce.any { it.matches(method, path) }
+        val delivery = if (isAtMostOnce) Delivery.AT_MOST_ONCE else Delivery.IDEMPOTENT
+        return Ok(request(call, draft, pool, path, delivery, prefix = null))
+    }
+
+    private fun request(
+        call: ApplicationCall,
+        draft: Draft,
+        pool: PoolSection,
+        path: String,
+        delivery: Delivery,
+        prefix: String?
+    ): CallerRequest = CallerRequest(
+        draft.id,
+        draft.organisation,
+        draft.priority,
+        pool,
+        delivery,
+        call.request.httpMethod.value,
+        path,
+        relayedHeaders(call),
+        draft.body,
+        prefix,
+        call.request.headers[KEY_HEADER],
+        draft.deadlineMillis
+    )
+
+    private fun relayedHeaders(call: ApplicationCall): List<HeaderField> = listOf(
+        HttpHeaders.ContentType,
+        HttpHeaders.Accept,
+        HttpHeaders.AcceptLanguage,
+        ORGANISATION_HEADER,
+        KEY_HEADER
+    )
+        .mapNotNull { name -> call.request.headers[name]?.let { HeaderField(name, it) } }
+
+    private suspend fun answer(call: ApplicationCall, request: CallerRequest) {
+        val subject = EventSubject(requestId = request.id)
+        context.events.event(EventCode.REQUEST_ACCEPTED, subject) {
+            "${request.method} ${request.path} for ${request.organisation}"
+        }
+        val opened =
+            withTimeoutOrNull(maxOf(1, request.remainingMillis())) {
+                context.dispatcher.open(request)
+            }
+                ?: Err(
+                    Problem(
+                        ProblemKind.DEADLINE,
+                        "the deadline passed before an answer began; allow more time",
+                        ranAfterTimeout(request)
+                    )
+                )
+        opened.fold(
+            success = { relay(call, request, it) },
+            failure = { refuse(call, it, request.id) }
+        )
+    }
+
+    private fun ranAfterTimeout(request: CallerRequest) =
+        if (request.delivery == Delivery.AT_MOST_ONCE) Ran.UNKNOWN else Ran.NO
+
+    private suspend fun relay(call: ApplicationCall, request: CallerRequest, open: OpenAnswer) {
+        val channel = AnswerChannel(open.relay)
+        try {
+            call.respond(AnswerContent(open.start.head, channel))
+        } finally {
+            withContext(NonCancellable) { context.dispatcher.finish(open.relay, open.placement) }
+            val code = if (channel.isWhole) EventCode.REQUEST_ANSWERED else EventCode.REQUEST_FAILED
+            context.events.event(code, EventSubject(requestId = request.id)) {
+                "by ${open.placement.vm}"
+            }
+        }
+    }
+
+    suspend fun models(call: ApplicationCall) {
+        val models = context.configuration()?.models.orEmpty().map { ModelEntry(it.id) }
+        val text = Json.encodeToString(ModelList.serializer(), ModelList(models))
+        call.respondText(text, ContentType.Application.Json)
+    }
+
+    private fun bad(detail: String): Problem = Problem(ProblemKind.BAD_REQUEST, detail)
+
+    private fun printable(text: String): String = text.take(KEY_MAX_CHARS).filter {
+        it.code >=
+            ' '.code
+    }
+}
+
+@Serializable
+private data class ModelEntry(val id: ModelId, @EncodeDefault val `object`: String = "model")
+
+@Serializable
+private data class ModelList(
+    val data: List<ModelEntry>,
+    @EncodeDefault val `object`: String = "list"
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/transport/FrameCodec.kt
@@ -0,0 +1,61 @@
+/*
+ * Frames on the wire: a length of four bytes, then one CBOR message. The length is checked before
+ * anything is allocated.
+ */
+package org.toucanspur.daemon.transport
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writeInt
+import java.io.IOException
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.toucanspur.schema.Frame
+
+/** Largest frame; a chunk of weights with its header fits. */
+const val FRAME_MAX_BYTES = 8 * 1024 * 1024
+
+/** Largest frame before the peer has proved its identity. */
+const val HANDSHAKE_FRAME_MAX_BYTES = 1024
+
+/** A peer broke the protocol; the connection is closed. */
+class ProtocolException(message: String, cause: Throwable? = null) : IOException(message, cause)
+
+private val cbor = Cbor {
+    ignoreUnknownKeys = true
+}
+
+/** Encodes [frame] without its length. */
+fun encodeFrame(frame: Frame): ByteArray = cbor.encodeToByteArray<Frame>(frame)
+
+/** Decodes a frame; throws [ProtocolException] when [bytes] are no frame. */
+fun decodeFrame(bytes: ByteArray): Frame = try {
+    cbor.decodeFromByteArray<Frame>(bytes)
+} catch (e: SerializationException) {
+    throw ProtocolException("frame is malformed (${e.message}); check the peer's version", e)
+} catch (e: IllegalArgumentException) {
+    throw ProtocolException("frame is malformed (${e.message}); check the peer's version", e)
+}
+
+/** Writes [frame] without flushing. */
+suspend fun ByteWriteChannel.writeFrame(frame: Frame) {
+    val bytes = encodeFrame(frame)
+    writeInt(bytes.size)
+    writeFully(bytes)
+}
+
+/** Reads the next frame; throws [ProtocolException] when it is longer than [maxBytes]. */
+suspend fun ByteReadChannel.readFrame(maxBytes: Int = FRAME_MAX_BYTES): Frame {
+    val length = readInt()
+    if (length !in 1..maxBytes) {
+        throw ProtocolException(
+            "frame length $length is outside 1..$maxBytes; check the peer's version"
+        )
+    }
+    return decodeFrame(readByteArray(length))
+}
