Import once per region from the region nearest to the weight store

Change: imports advance in a shared order within a window; stalls are judged by the pace of the region; other regions import from the home region's importer; corrupt peers are avoided for a time that decays instead of for good.

--- a/bench/src/main/kotlin/org/toucanspur/bench/LocalCluster.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/LocalCluster.kt
@@ -56,6 +56,7 @@
     val environment: String,
     val originBytesPerSecond: Long = DEFAULT_ORIGIN_BYTES_PER_SECOND,
     val linkMbit: Int = 2000,
+    val storeRegion: String = "any",
     val extra: Map<String, Map<String, String>> = emptyMap(),
     val isEventLogEnabled: Boolean = true
 )
@@ -163,7 +164,8 @@
                 "object-api-url" to objectApi.url,
                 "vm-list-url" to vmList.url,
                 "vm-list-poll-millis" to "300",
-                "weight-store-url" to weightStore.url
+                "weight-store-url" to weightStore.url,
+                "weight-store-region" to options.storeRegion
             ),
             "keys" to mapOf("current" to "loopback-key-loopback-key-loopback-key"),
             "weights" to mapOf("link-mbit" to options.linkMbit.toString(), "memory-mib" to "512"),
--- a/bench/src/main/kotlin/org/toucanspur/bench/tryout/TryScenario.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/tryout/TryScenario.kt
@@ -70,7 +70,7 @@
     private val checks = mutableListOf<TryCheck>()
 
     /** The deployment under trial. */
-    val cluster = LocalCluster(ClusterOptions(environment))
+    val cluster = LocalCluster(ClusterOptions(environment, storeRegion = places.first().region))
     private val http = platformHttpClient(CALL_TIMEOUT_MILLIS)
     private val publisher by lazy {
         DocumentPublisher(environment, HttpObjectStore(http, cluster.objectApi.url))
--- a/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
@@ -1,18 +1,17 @@
 /*
- * Decides, for one release on one VM, which chunks to fetch from where. Chunks enter a region
- * through importers: for each chunk the live VMs of the region are ranked by rendezvous hashing,
- * the first one fetches it from the weight store, and the next in rank steps in when the import of
- * the region makes no progress for a timeout. Inside the region a bounded set of neighbours
- * exchanges chunks, rarest first.
+ * Decides, for one release on one VM, which chunks to fetch from where. Chunks enter a region through
+ * importers: for each chunk the live VMs of the region are ranked by rendezvous hashing, the first
+ * one imports it, and the next in rank steps in when the region has learned of no new chunk for a
+ * timeout. Only the region nearest to the weight store imports from it; the importers of the other
+ * regions ask the importer of that region, and the weight store when that fails. Inside a region a
+ * bounded set of neighbours exchanges chunks, rarest first.
  *
- * The planner does no I/O and reads no clock; it runs the same under virtual time and in the
- * agent.
+ * The planner does no I/O and reads no clock; it runs the same under virtual time and in the agent.
  */
 package org.toucanspur.core.weights
 
 import java.util.BitSet
 import kotlin.random.Random
-import org.toucanspur.core.membership.rendezvousScore
 import org.toucanspur.core.membership.stableHash
 import org.toucanspur.schema.ReleaseDigest
 import org.toucanspur.schema.VmId
@@ -25,7 +24,8 @@
     val importsMax: Int = 4,
     val importTimeoutMillis: Long = 4000,
     val fetchTimeoutMillis: Long = 10_000,
-    val chargesMax: Int = 2
+    val importFetchTimeoutMillis: Long = 300_000,
+    val importWindow: Int = 64,
 )
 
 /** Where a chunk is fetched from. */
@@ -33,8 +33,8 @@
     /** The weight store of the platform. */
     data object Store : ChunkSource
 
-    /** Another VM of the region. */
-    data class Peer(val vm: VmId) : ChunkSource
+    /** A neighbour, or the importer of the region nearest to the weight store. */
+    data class Peer(val vm: VmId, val isRemote: Boolean = false) : ChunkSource
 }
 
 /** What the planner asks its host to do. */
@@ -51,24 +51,27 @@
 
 /** The exchange of one release on one VM. Not safe for use by several threads. */
 class ExchangePlanner(
-    private val release: ReleaseDigest,
-    private val self: VmId,
+    release: ReleaseDigest,
+    self: VmId,
     chunkCount: Int,
     private val limits: ExchangeLimits,
-    startMillis: Long
+    startMillis: Long,
 ) {
     private val total = chunkCount
     private val held = BitSet(chunkCount)
-    private val knownInRegion = BitSet(chunkCount)
-    private val availability = IntArray(chunkCount)
-    private val peers = LinkedHashMap<VmId, PeerState>()
-    private val fetches = HashMap<Int, Fetching>()
+    private val inRegion = BitSet(chunkCount)
     private val random = Random(stableHash("${release.value}/${self.value}"))
-    private val order = (0 until chunkCount).shuffled(random)
-    private var members: List<VmId> = listOf(self)
-    private var ranks = IntArray(chunkCount)
-    private var lastProgressMillis = startMillis
-    private var storeRetryMillis = startMillis
+    private val preference = (0 until chunkCount).shuffled(random).toIntArray()
+    private val wanted = BitSet(chunkCount)
+    private val peers = PeerBook(chunkCount, random)
+    private val duties = ImportDuties(release, self, chunkCount)
+    private val fetches = arrayOfNulls<Fetching>(chunkCount)
+    private val remoteFailures = IntArray(chunkCount)
+    private var imports = 0
+    private var exchanges = 0
+    private val pace = ProgressPace(startMillis, limits.importTimeoutMillis)
+    private var lastExpiryMillis = startMillis
+    private var importRetryMillis = startMillis
 
     /** Chunks held and verified. */
     val heldCount: Int get() = held.cardinality()
@@ -80,79 +83,75 @@
     fun bitmap(): ByteArray = held.toByteArray()
 
     /** Marks chunks that another release has left in the chunk memory. */
-    fun addHeld(indexes: Iterable<Int>) {
-        indexes.forEach {
-            held.set(it)
-            knownInRegion.set(it)
-        }
+    fun addHeld(indexes: Iterable<Int>) = indexes.forEach {
+        held.set(it)
+        inRegion.set(it)
     }
 
     /** Sets the live VMs of the region that take part; includes this VM. */
-    fun setMembers(vms: Collection<VmId>) {
-        val sorted = (vms + self).distinct().sortedBy { it.value }
-        if (sorted == members) return
-        members = sorted
-        ranks = computeRanks(sorted)
-    }
-
-    private fun computeRanks(vms: List<VmId>): IntArray {
-        val hashes = vms.map { stableHash(it.value) }
-        val own = stableHash(self.value)
-        val releaseHash = stableHash(release.value)
-        return IntArray(total) { index ->
-            val key = releaseHash + index
-            val ownScore = rendezvousScore(key, own)
-            hashes.count { rendezvousScore(key, it) > ownScore }
+    fun setMembers(vms: Collection<VmId>) = duties.setMembers(vms)
+
+    /**
+     * Sets the VMs of the region nearest to the weight store, empty when this is that region, and the
+     * share of the chunks that this region imports from the weight store all the same.
+     */
+    fun setHome(vms: Collection<VmId>, directShare: Double) {
+        duties.setHome(vms, directShare)
+        val present = vms.toSet()
+        for (index in 0 until total) {
+            val source = fetches[index]?.source as? ChunkSource.Peer ?: continue
+            if (source.isRemote && source.vm !in present) end(index)
         }
     }
 
     /** Records the bitmap of a neighbour. */
     fun onPeerBitmap(vm: VmId, bitmap: ByteArray, nowMillis: Long) {
-        val peer = peers.getOrPut(vm) { PeerState(BitSet(total)) }
         val chunks = BitSet.valueOf(bitmap)
         for (index in 0 until total) {
-            if (chunks.get(index)) addToPeer(peer, index, nowMillis)
+            if (chunks.get(index)) onPeerChunk(vm, index, nowMillis)
         }
     }
 
     /** Records one chunk that a neighbour has verified. */
     fun onPeerChunk(vm: VmId, index: Int, nowMillis: Long) {
-        if (index !in 0 until total) return
-        addToPeer(peers.getOrPut(vm) { PeerState(BitSet(total)) }, index, nowMillis)
-    }
-
-    private fun addToPeer(peer: PeerState, index: Int, nowMillis: Long) {
-        if (peer.chunks.get(index)) return
-        peer.chunks.set(index)
-        availability[index]++
+        if (index !in 0 until total || !peers.add(vm, index)) return
         noteInRegion(index, nowMillis)
+        refreshWanted(index)
     }
 
+    private fun refreshWanted(index: Int) = wanted.set(
+        index,
+        !held.get(index) && fetches[index] == null && peers.availabilityOf(index) > 0,
+    )
+
     private fun noteInRegion(index: Int, nowMillis: Long) {
-        if (knownInRegion.get(index)) return
-        knownInRegion.set(index)
-        lastProgressMillis = nowMillis
+        if (inRegion.get(index)) return
+        inRegion.set(index)
+        pace.onProgress(nowMillis)
     }
 
     /** Forgets a neighbour whose connection ended; its open fetches are planned again. */
     fun onPeerLost(vm: VmId) {
-        val peer = peers.remove(vm) ?: return
-        forgetChunks(peer)
-        fetches.values.removeIf { it.source == ChunkSource.Peer(vm) }
+        for (index in 0 until total) {
+            val source = fetches[index]?.source
+            if (source is ChunkSource.Peer && source.vm == vm) end(index)
+        }
+        peers.remove(vm)
+        for (index in 0 until total) forgetUnlessKnown(index)
     }
 
-    private fun forgetChunks(peer: PeerState) {
-        peer.chunks.stream().forEach { index ->
-            availability[index]--
-            if (availability[index] == 0 && !held.get(index)) knownInRegion.clear(index)
-        }
+    private fun forgetUnlessKnown(index: Int) {
+        refreshWanted(index)
+        if (!held.get(index) && peers.availabilityOf(index) == 0) inRegion.clear(index)
     }
 
     /** Records a chunk that arrived and was verified. */
     fun onVerified(index: Int, nowMillis: Long): List<ExchangeEffect> {
-        fetches.remove(index)?.let { release(it) }
+        val source = end(index)?.source
+        if (source is ChunkSource.Peer) peers.onVerified(source.vm)
         if (held.get(index)) return emptyList()
         held.set(index)
+        wanted.clear(index)
         noteInRegion(index, nowMillis)
         val announce = ExchangeEffect.Announce(index)
         return if (isComplete) listOf(announce, ExchangeEffect.Complete) else listOf(announce)
@@ -160,101 +159,126 @@
 
     /** Records a failed fetch; a [corrupt] answer charges its source. */
     fun onFailed(index: Int, corrupt: Boolean, nowMillis: Long) {
-        val fetch = fetches.remove(index) ?: return
-        release(fetch)
-        when (val source = fetch.source) {
-            is ChunkSource.Store -> storeRetryMillis = nowMillis + STORE_RETRY_MILLIS
-            is ChunkSource.Peer -> chargePeer(source.vm, index, corrupt)
-        }
-    }
-
-    private fun chargePeer(vm: VmId, index: Int, corrupt: Boolean) {
-        val peer = peers[vm] ?: return
-        if (corrupt) peer.charges++
-        if (peer.chunks.get(index)) {
-            peer.chunks.clear(index)
-            availability[index]--
-            if (availability[index] == 0) knownInRegion.clear(index)
+        val source = end(index)?.source ?: return
+        when {
+            isImport(source) -> {
+                if (source is ChunkSource.Peer) remoteFailures[index]++
+                importRetryMillis = nowMillis + IMPORT_RETRY_MILLIS
+            }
+            source is ChunkSource.Peer -> {
+                if (corrupt) peers.charge(source.vm, nowMillis) else peers.withdraw(source.vm, index)
+                forgetUnlessKnown(index)
+            }
         }
     }
 
-    private fun release(fetch: Fetching) {
+    private fun end(index: Int): Fetching? {
+        val fetch = fetches[index] ?: return null
+        fetches[index] = null
+        refreshWanted(index)
         val source = fetch.source
-        if (source is ChunkSource.Peer) peers[source.vm]?.let { it.outstanding-- }
+        if (isImport(source)) {
+            imports--
+        } else if (source is ChunkSource.Peer) {
+            peers.addOutstanding(source.vm, -1)
+            exchanges--
+        }
+        return fetch
     }
 
     /** Plans new fetches; call it after each input and at least once a second. */
     fun plan(nowMillis: Long): List<ExchangeEffect> {
         if (isComplete) return emptyList()
-        expireFetches(nowMillis)
         val effects = mutableListOf<ExchangeEffect>()
+        expireFetches(nowMillis)
         planImports(nowMillis, effects)
         planExchange(nowMillis, effects)
         return effects
     }
 
     private fun expireFetches(nowMillis: Long) {
-        val expired = fetches.filterValues {
-            nowMillis - it.startMillis >= limits.fetchTimeoutMillis
+        if (nowMillis - lastExpiryMillis < EXPIRY_MILLIS) return
+        lastExpiryMillis = nowMillis
+        for (index in 0 until total) {
+            val fetch = fetches[index] ?: continue
+            if (nowMillis - fetch.startMillis < timeoutOf(fetch.source)) continue
+            onFailed(index, corrupt = false, nowMillis)
         }
-        expired.keys.forEach { onFailed(it, corrupt = false, nowMillis) }
     }
 
+    private fun timeoutOf(source: ChunkSource): Long =
+        if (isImport(source)) limits.importFetchTimeoutMillis else limits.fetchTimeoutMillis
+
+    private fun isImport(source: ChunkSource): Boolean =
+        source is ChunkSource.Store || (source is ChunkSource.Peer && source.isRemote)
+
+    // Imports advance in an order that all VMs share, a window ahead of what the region is known to
+    // hold, so that the links into the region carry no long queues.
     private fun planImports(nowMillis: Long, effects: MutableList<ExchangeEffect>) {
-        if (nowMillis < storeRetryMillis) return
-        var importing = fetches.values.count { it.source is ChunkSource.Store }
-        if (importing >= limits.importsMax) return
-        val stalledMillis = nowMillis - lastProgressMillis
-        val rankLimit = (stalledMillis / limits.importTimeoutMillis).toInt()
-        for (index in order) {
-            if (importing >= limits.importsMax) return
-            if (!needsImport(index, rankLimit)) continue
-            startFetch(index, ChunkSource.Store, nowMillis, effects)
-            importing++
+        if (imports >= limits.importsMax || nowMillis < importRetryMillis) return
+        val rankLimit = pace.stalls(nowMillis)
+        val turnLimit = inRegion.cardinality() + limits.importWindow * (1 + rankLimit)
+        for (index in duties.ordered) {
+            if (imports >= limits.importsMax || duties.rankOf(index) > rankLimit) return
+            val isDue = duties.turnOf(index) < turnLimit
+            if (!isDue || !isMissing(index) || inRegion.get(index)) continue
+            imports++
+            start(index, importSource(index), nowMillis, effects)
         }
     }
 
-    private fun needsImport(index: Int, rankLimit: Int): Boolean = ranks[index] <= rankLimit &&
-        !held.get(index) &&
-        !knownInRegion.get(index) &&
-        index !in fetches
+    private fun importSource(index: Int): ChunkSource {
+        val importer = duties.homeImporter(index)
+        return if (importer == null || remoteFailures[index] >= REMOTE_ATTEMPTS_MAX) {
+            ChunkSource.Store
+        } else {
+            ChunkSource.Peer(importer, isRemote = true)
+        }
+    }
+
+    private fun isMissing(index: Int): Boolean = !held.get(index) && fetches[index] == null
 
     private fun planExchange(nowMillis: Long, effects: MutableList<ExchangeEffect>) {
-        var free = limits.fetchesMax - fetches.values.count { it.source is ChunkSource.Peer }
-        if (free <= 0) return
-        val candidates = order.filter { availability[it] > 0 && !held.get(it) && it !in fetches }
-        for (index in candidates.sortedBy { availability[it] }) {
-            if (free == 0) return
-            val peer = bestPeer(index) ?: continue
-            peers.getValue(peer).outstanding++
-            startFetch(index, ChunkSource.Peer(peer), nowMillis, effects)
-            free--
+        while (exchanges < limits.fetchesMax) {
+            val index = rarestFetchable(nowMillis) ?: return
+            val peer = peers.bestFor(index, limits, nowMillis) ?: return
+            exchanges++
+            peers.addOutstanding(peer, 1)
+            start(index, ChunkSource.Peer(peer), nowMillis, effects)
         }
     }
 
-    private fun bestPeer(index: Int): VmId? = peers.entries
-        .filter { it.value.chunks.get(index) }
-        .filter { it.value.charges < limits.chargesMax }
-        .filter { it.value.outstanding < limits.fetchesPerPeerMax }
-        .shuffled(random)
-        .minByOrNull { it.value.outstanding }
-        ?.key
+    private fun rarestFetchable(nowMillis: Long): Int? {
+        var best: Int? = null
+        var bestRarity = Int.MAX_VALUE
+        var index = wanted.nextSetBit(0)
+        while (index >= 0) {
+            val rarity = peers.availabilityOf(index) * total + preference[index]
+            if (rarity < bestRarity && peers.isFetchable(index, limits, nowMillis)) {
+                best = index
+                bestRarity = rarity
+            }
+            index = wanted.nextSetBit(index + 1)
+        }
+        return best
+    }
 
-    private fun startFetch(
+    private fun start(
         index: Int,
         source: ChunkSource,
         nowMillis: Long,
-        effects: MutableList<ExchangeEffect>
+        effects: MutableList<ExchangeEffect>,
     ) {
         fetches[index] = Fetching(source, nowMillis)
+        wanted.clear(index)
         effects += ExchangeEffect.Fetch(index, source)
     }
 
-    private class PeerState(val chunks: BitSet, var outstanding: Int = 0, var charges: Int = 0)
-
     private class Fetching(val source: ChunkSource, val startMillis: Long)
 
     private companion object {
-        const val STORE_RETRY_MILLIS = 1000L
+        const val IMPORT_RETRY_MILLIS = 1000L
+        const val EXPIRY_MILLIS = 250L
+        const val REMOTE_ATTEMPTS_MAX = 2
     }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/AgentNode.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/AgentNode.kt
@@ -32,6 +32,7 @@
 import org.toucanspur.core.weights.OrderTiming
 import org.toucanspur.core.weights.RolloutCandidate
 import org.toucanspur.core.weights.RolloutLimits
+import org.toucanspur.core.weights.directShare
 import org.toucanspur.core.weights.neighboursOf
 import org.toucanspur.daemon.PoisonService
 import org.toucanspur.daemon.ProcessBase
@@ -159,6 +160,7 @@
         base.start()
         poison.start(base.scope)
         base.scope.launch { followDocument() }
+        base.scope.launch { links.remoteAgents.collect { exchangeWeights(base.vms.value) } }
         base.scope.launch { followEngine() }
         base.scope.launch { reconcileLoop() }
         base.scope.launch { reportLoop() }
@@ -197,21 +199,33 @@
     }
 
     private suspend fun exchangeWeights(vms: List<VmRecord>) = exchangeMutex.withLock {
-        val peers = vms.filter { isExchangePeer(it) }.map { it.vm }
-        val neighbours =
-            neighboursOf(self, peers, settings.weights.neighbours, settings.daemon.region.value)
-        network.keepDialled(vms.filter { it.vm in neighbours && self.value < it.vm.value })
+        val peers = vms.filter { isExchangePeer(it) }
+        val inRegion = peers.filter { it.region == settings.daemon.region }.map { it.vm }
+        val neighbours = neighboursOf(self, inRegion, settings.weights.neighbours, poolId.value)
+        val dialled = neighbours.filter { self.value < it.value } + links.remoteAgents.value
+        network.keepDialled(vms.filter { it.vm in dialled })
+        weights.remoteVms = vms.filter { it.region != settings.daemon.region }.map { it.vm }.toSet()
         val kept = setOfNotNull(wanted, rollout.record?.previous, orders.routable.value)
-        weights.keep(if (isEngine) kept.associateWith { peers } else emptyMap())
+        val members = releaseMembers(peers, inRegion)
+        weights.keep(if (isEngine) kept.associateWith { members } else emptyMap())
+    }
+
+    private fun releaseMembers(peers: List<VmRecord>, inRegion: List<VmId>): ReleaseMembers {
+        val homeRegion = settings.platform.weightStoreRegion
+        if (homeRegion.value == "any" || homeRegion == settings.daemon.region) {
+            return ReleaseMembers(inRegion)
+        }
+        val home = peers.filter { it.region == homeRegion }.map { it.vm }
+        val regions = peers.map { it.region }.distinct().size
+        return ReleaseMembers(inRegion, home, directShare(home.size, regions))
     }
 
     private fun isExchangePeer(record: VmRecord): Boolean {
         val pools = document?.configuration?.pools.orEmpty()
-        val sameModel = pools.filter {
-            it.kind == PoolKind.ENGINE && it.model == pool?.model
-        }.map { it.id }
+        val sameModel = pools
+            .filter { it.kind == PoolKind.ENGINE && it.model == pool?.model }
+            .map { it.id }
         return record.role == VmRole.AGENT &&
-            record.region == settings.daemon.region &&
             record.state == VmState.LIVE &&
             record.pool in sameModel
     }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/ReleaseTransfer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/ReleaseTransfer.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -40,6 +41,17 @@
 private const val BLOB_PEER_TIMEOUT_MILLIS = 1000L
 private const val MANIFEST_RETRY_MILLIS = 200L
 private const val PLAN_MILLIS = 100L
+private const val REMOTE_WAIT_MILLIS = 30_000L
+
+/**
+ * VMs that want a release: those of the own [region], and those of the region nearest to the weight
+ * store ([home], empty when it is the own one), with the share to import from the store all the same.
+ */
+data class ReleaseMembers(
+    val region: List<VmId>,
+    val home: List<VmId> = emptyList(),
+    val directShare: Double = 1.0,
+)
 
 /** How far a transfer has come. */
 data class TransferProgress(val chunksHeld: Int, val chunksTotal: Int) {
@@ -58,11 +70,11 @@
     val events: EventLog
 )
 
-/** Transfers [release]; [members] are the VMs of the region that want it. */
+/** Transfers [release] to this agent; [members] are the VMs that want it. */
 class ReleaseTransfer(
     val release: ReleaseDigest,
     private val context: TransferContext,
-    @Volatile private var members: List<VmId>
+    @Volatile private var members: ReleaseMembers
 ) {
     private val mutex = Mutex()
     private val assembler = ManifestAssembler(release)
@@ -100,15 +112,19 @@
     }
 
     /** Takes over the VMs of the region that want the release. */
-    suspend fun setMembers(vms: List<VmId>) {
-        members = vms
-        mutex.withLock { planner?.setMembers(vms) }
+    suspend fun setMembers(changed: ReleaseMembers) {
+        members = changed
+        mutex.withLock { planner?.let(::applyMembers) }
+    }
+
+    private fun applyMembers(target: ExchangePlanner) {
+        target.setMembers(members.region)
+        target.setHome(members.home, members.directShare)
     }
 
     private suspend fun fetchManifest() {
-        val rank = rendezvousRank(release.value, members + context.self, members.size + 1) {
-            it.value
-        }
+        val vms = members.region + context.self
+        val rank = rendezvousRank(release.value, vms.distinct(), vms.size) { it.value }
             .indexOf(context.self)
         while (true) {
             val missing = assembler.missing()
@@ -159,7 +175,7 @@
                     monotonicMillis()
                 )
             created.addHeld(chunks.indices.filter { context.memory.contains(chunks[it].digest) })
-            created.setMembers(members)
+            applyMembers(created)
             earlyBitmaps.forEach { (vm, bitmap) ->
                 created.onPeerBitmap(vm, bitmap, monotonicMillis())
             }
@@ -207,9 +223,16 @@
         accept(index, bytes, "peer $vm")
     }
 
-    /** A manifest blob or chunk for a neighbour; empty when it is not here. */
-    fun serve(digest: ChunkDigest): ByteArray =
-        manifestBlobs[digest] ?: context.memory.get(digest) ?: ByteArray(0)
+    /**
+     * A manifest blob or chunk for a peer; empty when it is not here. A chunk that is about to come
+     * is waited for when [isRemote], because the importers of other regions follow this one.
+     */
+    suspend fun serve(digest: ChunkDigest, isRemote: Boolean): ByteArray {
+        val present = manifestBlobs[digest] ?: context.memory.get(digest)
+        if (present != null || !isRemote) return present ?: ByteArray(0)
+        withTimeoutOrNull(REMOTE_WAIT_MILLIS) { state.first { context.memory.contains(digest) } }
+        return context.memory.get(digest) ?: ByteArray(0)
+    }
 
     private suspend fun plan() {
         val effects = mutex.withLock { planner?.plan(monotonicMillis()).orEmpty() }
@@ -238,6 +261,7 @@
                 accept(effect.index, bytes, "weight store")
             }
             is ChunkSource.Peer -> {
+                if (source.isRemote) context.links.requireRemote(source.vm)
                 val isSent = context.links.send(source.vm, ChunkRequest(release, chunk.digest))
                 if (!isSent) accept(effect.index, ByteArray(0), "peer ${source.vm}")
             }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/WeightService.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/WeightService.kt
@@ -54,11 +54,15 @@
         events
     )
 
+    /** VMs of other regions, which follow the imports of this one. */
+    @Volatile
+    var remoteVms: Set<VmId> = emptySet()
+
     /** Bytes of chunks in memory. */
     val heldBytes: Long get() = memory.heldBytes()
 
     /** Keeps exactly [releases]; each is exchanged with the VMs that want it too. */
-    suspend fun keep(releases: Map<ReleaseDigest, List<VmId>>) {
+    suspend fun keep(releases: Map<ReleaseDigest, ReleaseMembers>) {
         (transfers.keys - releases.keys).forEach(::drop)
         releases.forEach { (release, members) ->
             val running = transfers[release]
@@ -66,7 +70,7 @@
         }
     }
 
-    private fun start(release: ReleaseDigest, members: List<VmId>) {
+    private fun start(release: ReleaseDigest, members: ReleaseMembers) {
         val transfer = ReleaseTransfer(release, context, members)
         transfers[release] = Running(transfer, scope.launch { transfer.run() })
     }
@@ -107,17 +111,19 @@
         when (frame) {
             is Have -> transfers[frame.release]?.transfer?.onHave(vm, frame.bitmap)
             is Got -> transfers[frame.release]?.transfer?.onGot(vm, frame.chunk)
-            is ChunkRequest -> scope.launch { serve(vm, frame) }
+            is ChunkRequest -> scope.launch { serve(connection, frame) }
             is ChunkData -> transfers[frame.release]?.transfer?.onData(vm, frame.chunk, frame.bytes)
             else -> return false
         }
         return true
     }
 
-    private suspend fun serve(vm: VmId, request: ChunkRequest) {
-        val bytes = transfers[request.release]?.transfer?.serve(request.chunk) ?: ByteArray(0)
+    private suspend fun serve(connection: PeerConnection, request: ChunkRequest) {
+        val isRemote = connection.peer.vm in remoteVms
+        val transfer = transfers[request.release]?.transfer
+        val bytes = transfer?.serve(request.chunk, isRemote) ?: ByteArray(0)
         upload.acquire(bytes.size)
-        links.send(vm, ChunkData(request.release, request.chunk, bytes))
+        connection.send(ChunkData(request.release, request.chunk, bytes))
     }
 
     private class Running(val transfer: ReleaseTransfer, val job: Job)
