Spread uploads evenly: a VM that has sent more than it received asks to be spared

Cause: with 14 Mbit/s between regions one VM sent 1.555 copies: the importer of a chunk is its only holder and all its neighbours fetched from it at once. Change: equal shares of fetches per neighbour, and a choke message with a grace of one second.

--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/Main.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/Main.kt
@@ -28,7 +28,7 @@
 }
 
 private val measurements = listOf<Measurement>(
-    WeightsMeasurement(),
+    WeightsMeasurement()
 )
 
 private const val EXIT_USAGE = 2
@@ -37,10 +37,17 @@
 fun main(args: Array<String>) {
     val measurement = measurements.find { it.name == args.firstOrNull() }
     if (measurement == null) {
-        System.err.println("usage: bin/measure NAME; names: ${measurements.joinToString { it.name }}")
+        System.err.println(
+            "usage: bin/measure NAME; names: ${measurements.joinToString {
+                it.name
+            }}"
+        )
         exitProcess(EXIT_USAGE)
     }
-    val values = args.drop(1).chunked(2).filter { it.size == 2 }.associate { (key, value) -> key.removePrefix("--") to value }
+    val values = args.drop(1).chunked(2).filter { it.size == 2 }.associate { (key, value) ->
+        key.removePrefix("--") to
+            value
+    }
     val figures = runBlocking(Dispatchers.Default) { measurement.run(Options(values)) }
     println(figures)
     exitProcess(0)
--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/WeightsMeasurement.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/WeightsMeasurement.kt
@@ -32,12 +32,14 @@
             "$vms VMs, 10% dying" to base.copy(dyingShare = 0.1),
             "$vms VMs, 1% corrupt" to base.copy(corruptShare = 0.01),
             "$vms VMs, 14 Mbit/s between regions" to
-                base.copy(interRegionBytesPerSecond = NARROW_MBIT * BYTES_PER_MBIT),
+                base.copy(interRegionBytesPerSecond = NARROW_MBIT * BYTES_PER_MBIT)
         )
         val own = async { VirtualExchange(base).run() }
         val small = async { VirtualExchange(scenario(options, 50)).run() }
         val plain = async { VirtualExchange(base, isPlainPull = true).run() }
-        val results = runs.map { (title, scenario) -> Triple(title, scenario, async { VirtualExchange(scenario).run() }) }
+        val results = runs.map { (title, scenario) ->
+            Triple(title, scenario, async { VirtualExchange(scenario).run() })
+        }
         results.forEach { (title, scenario, result) -> report(title, scenario, result.await()) }
         report("$vms VMs, plain pull from the origin", base, plain.await())
         figures(base, own.await(), small.await(), plain.await())
@@ -52,7 +54,7 @@
             CHUNK_BYTES,
             link,
             link * ORIGIN_LINKS,
-            options.int("inter-region-mbit", LINK_MBIT) * BYTES_PER_MBIT,
+            options.int("inter-region-mbit", LINK_MBIT) * BYTES_PER_MBIT
         )
     }
 
@@ -61,13 +63,14 @@
         println(
             "$title: ${result.elapsedMillis} ms, " +
                 "ratio %.3f, origin %.3f copies, ".format(ratio, copies(result, scenario)) +
-                "inter-region %.3f, link in %.3f out %.3f, ".format(
+                "inter-region %.3f, link in %.3f out %.3f both %.3f, ".format(
                     result.maxInterRegionCopies,
                     result.maxLinkInCopies,
                     result.maxLinkOutCopies,
+                    result.maxLinkCopies
                 ) +
                 "%.0f messages per VM, ".format(result.messagesPerVm) +
-                "${result.unfinished} unfinished",
+                "${result.unfinished} unfinished"
         )
     }
 
@@ -78,7 +81,7 @@
         scenario: ExchangeScenario,
         result: ExchangeResult,
         small: ExchangeResult,
-        plain: ExchangeResult,
+        plain: ExchangeResult
     ): JsonObject = buildJsonObject {
         val bound = lowerBoundMillis(scenario)
         put("vms", scenario.vms)
@@ -91,6 +94,7 @@
         put("maxInterRegionCopies", result.maxInterRegionCopies)
         put("maxLinkInCopies", result.maxLinkInCopies)
         put("maxLinkOutCopies", result.maxLinkOutCopies)
+        put("maxLinkCopies", result.maxLinkCopies)
         put("corruptServed", result.corruptAccepted)
         put("growthFrom50", result.elapsedMillis.toDouble() / small.elapsedMillis)
         put("plainPullMillis", plain.elapsedMillis)
--- a/bench/src/main/kotlin/org/toucanspur/bench/weights/VirtualExchange.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/weights/VirtualExchange.kt
@@ -34,7 +34,7 @@
     val dyingShare: Double = 0.0,
     val corruptShare: Double = 0.0,
     val limits: ExchangeLimits = ExchangeLimits(),
-    val seed: Int = 1,
+    val seed: Int = 1
 ) {
     val releaseBytes: Long get() = chunks.toLong() * chunkBytes
 }
@@ -46,18 +46,23 @@
     val maxInterRegionCopies: Double,
     val maxLinkInCopies: Double,
     val maxLinkOutCopies: Double,
+    val maxLinkCopies: Double,
     val messagesPerVm: Double,
     val corruptAccepted: Int,
-    val unfinished: Int,
+    val unfinished: Int
 )
 
 /** One run of [scenario]; fetches either by the planner or, for comparison, from the origin only. */
-class VirtualExchange(private val scenario: ExchangeScenario, private val isPlainPull: Boolean = false) {
+class VirtualExchange(
+    private val scenario: ExchangeScenario,
+    private val isPlainPull: Boolean = false
+) {
     private val events = PriorityQueue<Scheduled>(compareBy({ it.atMillis }, { it.order }))
     private val random = Random(scenario.seed)
     private val release = ReleaseDigest("virtual")
     private val origin = TransferPacer(scenario.originBytesPerSecond)
-    private val interRegion = List(scenario.regions) { TransferPacer(scenario.interRegionBytesPerSecond) }
+    private val interRegion =
+        List(scenario.regions) { TransferPacer(scenario.interRegionBytesPerSecond) }
     private val interRegionBytes = LongArray(scenario.regions)
     private val nodes = List(scenario.vms) { Node(it) }
     private val byId = nodes.associateBy { it.vm }
@@ -91,9 +96,10 @@
             interRegionBytes.drop(1).maxOfOrNull { it / size } ?: 0.0,
             nodes.maxOf { it.inBytes } / size,
             nodes.maxOf { it.outBytes } / size,
+            nodes.maxOf { it.inBytes + it.outBytes } / size,
             messages.toDouble() / scenario.vms,
             corruptAccepted,
-            nodes.count { !it.isDead && !it.isDone },
+            nodes.count { !it.isDead && !it.isDone }
         )
     }
 
@@ -152,7 +158,11 @@
             }
             val chosen = neighboursOf(vm, members, scenario.limits.neighbours, "region-$region")
             (chosen - neighbours).forEach { peer ->
-                at(LATENCY_MILLIS) { receive { planner.onPeerBitmap(peer, byId.getValue(peer).planner.bitmap(), nowMillis) } }
+                at(LATENCY_MILLIS) {
+                    receive {
+                        planner.onPeerBitmap(peer, byId.getValue(peer).planner.bitmap(), nowMillis)
+                    }
+                }
             }
             (neighbours - chosen).forEach { planner.onPeerLost(it) }
             neighbours = chosen
@@ -185,7 +195,14 @@
             when (effect) {
                 is ExchangeEffect.Fetch -> fetch(effect)
                 is ExchangeEffect.Announce -> neighbours.map(byId::getValue).forEach { peer ->
-                    at(LATENCY_MILLIS) { peer.receive { peer.planner.onPeerChunk(vm, effect.index, nowMillis) } }
+                    at(LATENCY_MILLIS) {
+                        peer.receive { peer.planner.onPeerChunk(vm, effect.index, nowMillis) }
+                    }
+                }
+                is ExchangeEffect.Choke -> neighbours.map(byId::getValue).forEach { peer ->
+                    at(LATENCY_MILLIS) {
+                        peer.receive { peer.planner.onPeerChoked(vm, effect.isChoked) }
+                    }
                 }
                 is ExchangeEffect.Complete -> finish()
             }
@@ -207,7 +224,8 @@
         private fun fromOrigin(index: Int, arrived: (Int) -> Unit) {
             val size = scenario.chunkBytes
             originBytes += size
-            val waits = mutableListOf(origin.reserve(size, nowMillis), down.reserve(size, nowMillis))
+            val waits =
+                mutableListOf(origin.reserve(size, nowMillis), down.reserve(size, nowMillis))
             if (region != 0) {
                 interRegionBytes[region] += size.toLong()
                 waits += interRegion[region].reserve(size, nowMillis)
@@ -232,19 +250,22 @@
 
         private fun send(requester: Node, index: Int) {
             val size = scenario.chunkBytes
-            val waits = mutableListOf(up.reserve(size, nowMillis), requester.down.reserve(size, nowMillis))
+            val waits =
+                mutableListOf(up.reserve(size, nowMillis), requester.down.reserve(size, nowMillis))
             if (region != requester.region) {
                 interRegionBytes[requester.region] += size.toLong()
                 waits += interRegion[requester.region].reserve(size, nowMillis)
             }
             outBytes += size
+            planner.onUploaded().forEach(::apply)
             requester.inBytes += size
             at(waits.max() + transferMillis(size) + 2 * LATENCY_MILLIS) {
                 if (!requester.isDead && !isDead) requester.arrive(index) else requester.lose(index)
             }
         }
 
-        private fun transferMillis(size: Int): Long = size * MILLIS_PER_SECOND / scenario.linkBytesPerSecond
+        private fun transferMillis(size: Int): Long =
+            size * MILLIS_PER_SECOND / scenario.linkBytesPerSecond
 
         private fun arrive(index: Int) {
             if (isDone) return
@@ -273,7 +294,12 @@
     val origin = scenario.originBytesPerSecond.toDouble()
     val vms = scenario.vms.toDouble()
     val crossing = if (scenario.regions > 1) size / scenario.interRegionBytesPerSecond else 0.0
-    val seconds = listOf(size / origin, size / link, vms * size / (origin + vms * link), crossing).max()
+    val seconds = listOf(
+        size / origin,
+        size / link,
+        vms * size / (origin + vms * link),
+        crossing
+    ).max()
     return (seconds * MILLIS).toLong()
 }
 
--- a/core/src/main/kotlin/org/toucanspur/core/weights/DirectShare.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/DirectShare.kt
@@ -3,7 +3,7 @@
  */
 package org.toucanspur.core.weights
 
-private const val HOME_EXTRA_UPLOAD_MAX = 0.1
+private const val HOME_EXTRA_UPLOAD_MAX = 0.05
 private const val STORE_COPIES_MAX = 3.0
 
 /**
--- a/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
@@ -26,6 +26,8 @@
     val fetchTimeoutMillis: Long = 10_000,
     val importFetchTimeoutMillis: Long = 300_000,
     val importWindow: Int = 64,
+    val chokeMillis: Long = 1000,
+    val uploadSlackPercent: Int = 2
 )
 
 /** Where a chunk is fetched from. */
@@ -45,6 +47,9 @@
     /** Tell all neighbours that the chunk with [index] is here. */
     data class Announce(val index: Int) : ExchangeEffect
 
+    /** Ask all neighbours to fetch elsewhere if they can, or no longer. */
+    data class Choke(val isChoked: Boolean) : ExchangeEffect
+
     /** All chunks are here and verified. */
     data object Complete : ExchangeEffect
 }
@@ -55,7 +60,7 @@
     self: VmId,
     chunkCount: Int,
     private val limits: ExchangeLimits,
-    startMillis: Long,
+    startMillis: Long
 ) {
     private val total = chunkCount
     private val held = BitSet(chunkCount)
@@ -67,6 +72,8 @@
     private val duties = ImportDuties(release, self, chunkCount)
     private val fetches = arrayOfNulls<Fetching>(chunkCount)
     private val remoteFailures = IntArray(chunkCount)
+    private var uploads = 0
+    private var isChoked = false
     private var imports = 0
     private var exchanges = 0
     private val pace = ProgressPace(startMillis, limits.importTimeoutMillis)
@@ -114,14 +121,14 @@
 
     /** Records one chunk that a neighbour has verified. */
     fun onPeerChunk(vm: VmId, index: Int, nowMillis: Long) {
-        if (index !in 0 until total || !peers.add(vm, index)) return
+        if (index !in 0 until total || !peers.add(vm, index, nowMillis)) return
         noteInRegion(index, nowMillis)
         refreshWanted(index)
     }
 
     private fun refreshWanted(index: Int) = wanted.set(
         index,
-        !held.get(index) && fetches[index] == null && peers.availabilityOf(index) > 0,
+        !held.get(index) && fetches[index] == null && peers.availabilityOf(index) > 0
     )
 
     private fun noteInRegion(index: Int, nowMillis: Long) {
@@ -130,6 +137,27 @@
         pace.onProgress(nowMillis)
     }
 
+    /** Records that a neighbour asks to be spared, or no longer. */
+    fun onPeerChoked(vm: VmId, isChoked: Boolean) = peers.setChoked(vm, isChoked)
+
+    /** Records a chunk that was sent to another VM. */
+    fun onUploaded(): List<ExchangeEffect> {
+        uploads++
+        return listOfNotNull(chokeChange())
+    }
+
+    // A VM that has sent more than it received asks its neighbours to spare it, so that all links carry
+    // about the same.
+    private fun chokeChange(): ExchangeEffect? {
+        val allowed = heldCount + total * limits.uploadSlackPercent / PERCENT
+        val isOver = uploads > allowed
+        val isUnder = uploads < allowed - total * limits.uploadSlackPercent / PERCENT / 2
+        val next = if (isChoked) !isUnder else isOver
+        if (next == isChoked) return null
+        isChoked = next
+        return ExchangeEffect.Choke(next)
+    }
+
     /** Forgets a neighbour whose connection ended; its open fetches are planned again. */
     fun onPeerLost(vm: VmId) {
         for (index in 0 until total) {
@@ -153,8 +181,11 @@
         held.set(index)
         wanted.clear(index)
         noteInRegion(index, nowMillis)
-        val announce = ExchangeEffect.Announce(index)
-        return if (isComplete) listOf(announce, ExchangeEffect.Complete) else listOf(announce)
+        return listOfNotNull(
+            ExchangeEffect.Announce(index),
+            chokeChange(),
+            ExchangeEffect.Complete.takeIf { isComplete }
+        )
     }
 
     /** Records a failed fetch; a [corrupt] answer charges its source. */
@@ -166,7 +197,14 @@
                 importRetryMillis = nowMillis + IMPORT_RETRY_MILLIS
             }
             source is ChunkSource.Peer -> {
-                if (corrupt) peers.charge(source.vm, nowMillis) else peers.withdraw(source.vm, index)
+                if (corrupt) {
+                    peers.charge(
+                        source.vm,
+                        nowMillis
+                    )
+                } else {
+                    peers.withdraw(source.vm, index)
+                }
                 forgetUnlessKnown(index)
             }
         }
@@ -267,7 +305,7 @@
         index: Int,
         source: ChunkSource,
         nowMillis: Long,
-        effects: MutableList<ExchangeEffect>,
+        effects: MutableList<ExchangeEffect>
     ) {
         fetches[index] = Fetching(source, nowMillis)
         wanted.clear(index)
@@ -279,6 +317,7 @@
     private companion object {
         const val IMPORT_RETRY_MILLIS = 1000L
         const val EXPIRY_MILLIS = 250L
+        const val PERCENT = 100
         const val REMOTE_ATTEMPTS_MAX = 2
     }
 }
--- a/core/src/main/kotlin/org/toucanspur/core/weights/ImportDuties.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ImportDuties.kt
@@ -12,7 +12,7 @@
 internal class ImportDuties(
     private val release: ReleaseDigest,
     private val self: VmId,
-    private val chunkCount: Int,
+    private val chunkCount: Int
 ) {
     private val releaseHash = stableHash(release.value)
     private var members: List<VmId> = emptyList()
--- a/core/src/main/kotlin/org/toucanspur/core/weights/PeerBook.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/PeerBook.kt
@@ -12,16 +12,17 @@
 internal class PeerBook(private val chunkCount: Int, private val random: Random) {
     private val peers = LinkedHashMap<VmId, Peer>()
     private val availability = IntArray(chunkCount)
+    private val availableSince = LongArray(chunkCount)
 
     /** Number of neighbours that hold the chunk at [index]. */
     fun availabilityOf(index: Int): Int = availability[index]
 
     /** Notes that [vm] holds the chunk at [index]; returns whether that is new. */
-    fun add(vm: VmId, index: Int): Boolean {
+    fun add(vm: VmId, index: Int, nowMillis: Long): Boolean {
         val peer = peers.getOrPut(vm) { Peer(BitSet(chunkCount)) }
         if (peer.chunks.get(index)) return false
         peer.chunks.set(index)
-        availability[index]++
+        if (availability[index]++ == 0) availableSince[index] = nowMillis
         return true
     }
 
@@ -41,7 +42,14 @@
 
     /** Notes that a fetch from [vm] started (+1) or ended (-1). */
     fun addOutstanding(vm: VmId, delta: Int) {
-        peers[vm]?.let { it.outstanding += delta }
+        val peer = peers[vm] ?: return
+        peer.outstanding += delta
+        if (delta > 0) peer.fetched++
+    }
+
+    /** Notes that [vm] asks to be spared ([isChoked]) or not. */
+    fun setChoked(vm: VmId, isChoked: Boolean) {
+        peers.getOrPut(vm) { Peer(BitSet(chunkCount)) }.isChoked = isChoked
     }
 
     /** Charges [vm] with a corrupt chunk: it is avoided for a time that doubles with each charge. */
@@ -61,43 +69,32 @@
     fun isFetchable(index: Int, limits: ExchangeLimits, nowMillis: Long): Boolean =
         peers.values.any { isUsable(it, index, limits, nowMillis) }
 
-    private fun isUsable(
-        peer: Peer,
-        index: Int,
-        limits: ExchangeLimits,
-        nowMillis: Long,
-    ): Boolean =
+    private fun isUsable(peer: Peer, index: Int, limits: ExchangeLimits, nowMillis: Long): Boolean =
         peer.outstanding < limits.fetchesPerPeerMax &&
             nowMillis >= peer.avoidedUntilMillis &&
+            (!peer.isChoked || nowMillis - availableSince[index] >= limits.chokeMillis) &&
             peer.chunks.get(index)
 
-    /** The neighbour to fetch the chunk at [index] from, or null when all are busy or avoided. */
-    fun bestFor(index: Int, limits: ExchangeLimits, nowMillis: Long): VmId? {
-        var best: VmId? = null
-        var bestOutstanding = limits.fetchesPerPeerMax
-        var ties = 0
-        for ((vm, peer) in peers) {
-            if (!isUsable(peer, index, limits, nowMillis)) continue
-            if (peer.outstanding < bestOutstanding) {
-                best = vm
-                bestOutstanding = peer.outstanding
-                ties = 1
-            } else if (best != null && peer.outstanding == bestOutstanding) {
-                ties++
-                if (random.nextInt(ties) == 0) best = vm
-            }
-        }
-        return best
-    }
+    /**
+     * The neighbour to fetch the chunk at [index] from, or null when all are busy or avoided. Equal
+     * shares of the fetches keep the uploads of the neighbours even.
+     */
+    fun bestFor(index: Int, limits: ExchangeLimits, nowMillis: Long): VmId? = peers.entries
+        .filter { isUsable(it.value, index, limits, nowMillis) }
+        .minByOrNull { it.value.fetched * FETCHED_WEIGHT + random.nextInt(FETCHED_WEIGHT) }
+        ?.key
 
     private class Peer(
         val chunks: BitSet,
         var outstanding: Int = 0,
+        var fetched: Int = 0,
+        var isChoked: Boolean = false,
         var charge: Double = 0.0,
-        var avoidedUntilMillis: Long = 0,
+        var avoidedUntilMillis: Long = 0
     )
 
     private companion object {
+        const val FETCHED_WEIGHT = 16
         const val AVOID_MILLIS = 500.0
         const val CHARGE_MAX = 7.0
         const val CHARGE_DECAY = 0.9
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/ReleaseTransfer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/ReleaseTransfer.kt
@@ -31,6 +31,7 @@
 import org.toucanspur.core.weights.ManifestAssembler
 import org.toucanspur.daemon.log.EventLog
 import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.schema.Choke
 import org.toucanspur.schema.ChunkDigest
 import org.toucanspur.schema.ChunkRequest
 import org.toucanspur.schema.Got
@@ -50,7 +51,7 @@
 data class ReleaseMembers(
     val region: List<VmId>,
     val home: List<VmId> = emptyList(),
-    val directShare: Double = 1.0,
+    val directShare: Double = 1.0
 )
 
 /** How far a transfer has come. */
@@ -210,6 +211,16 @@
         plan()
     }
 
+    /** Records that a neighbour asks to be spared, or no longer. */
+    suspend fun onChoke(vm: VmId, isChoked: Boolean) {
+        mutex.withLock { planner?.onPeerChoked(vm, isChoked) }
+    }
+
+    /** Records that a chunk was sent to another VM. */
+    suspend fun onUploaded() {
+        mutex.withLock { planner?.onUploaded().orEmpty() }.forEach { apply(it) }
+    }
+
     /** Forgets a neighbour. */
     suspend fun onPeerLost(vm: VmId) {
         earlyBitmaps.remove(vm)
@@ -243,6 +254,7 @@
         when (effect) {
             is ExchangeEffect.Fetch -> context.scope.launch { fetch(effect) }
             is ExchangeEffect.Announce -> context.links.broadcast(Got(release, effect.index))
+            is ExchangeEffect.Choke -> context.links.broadcast(Choke(release, effect.isChoked))
             is ExchangeEffect.Complete -> context.events.event(
                 EventCode.RELEASE_COMPLETE,
                 subject
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/WeightService.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/WeightService.kt
@@ -15,6 +15,7 @@
 import org.toucanspur.core.weights.Manifest
 import org.toucanspur.daemon.log.EventLog
 import org.toucanspur.daemon.transport.PeerConnection
+import org.toucanspur.schema.Choke
 import org.toucanspur.schema.ChunkData
 import org.toucanspur.schema.ChunkDigest
 import org.toucanspur.schema.ChunkRequest
@@ -111,6 +112,7 @@
         when (frame) {
             is Have -> transfers[frame.release]?.transfer?.onHave(vm, frame.bitmap)
             is Got -> transfers[frame.release]?.transfer?.onGot(vm, frame.chunk)
+            is Choke -> transfers[frame.release]?.transfer?.onChoke(vm, frame.choked)
             is ChunkRequest -> scope.launch { serve(connection, frame) }
             is ChunkData -> transfers[frame.release]?.transfer?.onData(vm, frame.chunk, frame.bytes)
             else -> return false
@@ -124,6 +126,7 @@
         val bytes = transfer?.serve(request.chunk, isRemote) ?: ByteArray(0)
         upload.acquire(bytes.size)
         connection.send(ChunkData(request.release, request.chunk, bytes))
+        if (bytes.isNotEmpty()) transfer?.onUploaded()
     }
 
     private class Running(val transfer: ReleaseTransfer, val job: Job)
