--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/WeightsMeasurement.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/WeightsMeasurement.kt
@@ -95,7 +95,6 @@
         put("maxLinkInCopies", result.maxLinkInCopies)
         put("maxLinkOutCopies", result.maxLinkOutCopies)
         put("maxLinkCopies", result.maxLinkCopies)
-        put("corruptServed", result.corruptAccepted)
         put("growthFrom50", result.elapsedMillis.toDouble() / small.elapsedMillis)
         put("plainPullMillis", plain.elapsedMillis)
         put("unfinished", result.unfinished)
--- a/bench/src/main/kotlin/org/toucanspur/bench/weights/VirtualExchange.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/weights/VirtualExchange.kt
@@ -21,6 +21,24 @@
 private const val HORIZON_MILLIS = 24L * 3600 * 1000
 private const val LIST_LAG_MILLIS = 3000L
 private const val SILENCE_MILLIS = 1500L
+private const val RESTART_MILLIS = 2000L
+private const val FAULT_MILLIS = 10_000L
+
+/** A fault of a run. */
+enum class ExchangeFault(val title: String) {
+    VM_DIES("VM dies"),
+    VM_RESTARTS("VM restarts empty"),
+    VM_JOINS("VM joins late"),
+    LINK_STALLS("link stalls"),
+    CONNECTIONS_SILENT("connections silent"),
+    CHUNKS_CORRUPT("chunks corrupt"),
+    STORE_DOWN("weight store down"),
+    REGION_CUT("region cut off"),
+    MEMBERS_DIFFER("VM list lags")
+}
+
+/** [fault] strikes VM number [victim] when [share] of all chunks have arrived. */
+data class FaultAt(val share: Double, val fault: ExchangeFault, val victim: Int)
 
 /** Sizes, rates and faults of a run. Rates are those that transfers may use. */
 data class ExchangeScenario(
@@ -34,6 +52,7 @@
     val dyingShare: Double = 0.0,
     val corruptShare: Double = 0.0,
     val limits: ExchangeLimits = ExchangeLimits(),
+    val faults: List<FaultAt> = emptyList(),
     val seed: Int = 1
 ) {
     val releaseBytes: Long get() = chunks.toLong() * chunkBytes
@@ -48,7 +67,6 @@
     val maxLinkOutCopies: Double,
     val maxLinkCopies: Double,
     val messagesPerVm: Double,
-    val corruptAccepted: Int,
     val unfinished: Int
 )
 
@@ -70,7 +88,10 @@
     private var nowMillis = 0L
     private var originBytes = 0L
     private var messages = 0L
-    private var corruptAccepted = 0
+    private var arrivals = 0L
+    private val pendingFaults = scenario.faults.toMutableList()
+    private var storeDownUntil = 0L
+    private val cutUntil = LongArray(scenario.regions)
     private var lastDoneMillis = 0L
     private var open = scenario.vms
 
@@ -78,6 +99,7 @@
     fun run(): ExchangeResult {
         nodes.forEach { it.start() }
         scheduleDeaths()
+        at(0, ::strikeDue)
         while (true) {
             val next = events.poll() ?: break
             nowMillis = next.atMillis
@@ -98,7 +120,6 @@
             nodes.maxOf { it.outBytes } / size,
             nodes.maxOf { it.inBytes + it.outBytes } / size,
             messages.toDouble() / scenario.vms,
-            corruptAccepted,
             nodes.count { !it.isDead && !it.isDone }
         )
     }
@@ -109,6 +130,33 @@
         dying.forEach { node -> at(random.nextLong(maxOf(1, spanMillis))) { node.die() } }
     }
 
+    private fun strikeDue() {
+        val share = arrivals.toDouble() / (scenario.vms.toLong() * scenario.chunks)
+        val due = pendingFaults.filter { it.share <= share }
+        pendingFaults -= due.toSet()
+        due.forEach { strike(it.fault, nodes[it.victim % nodes.size]) }
+    }
+
+    private fun strike(fault: ExchangeFault, victim: Node) {
+        when (fault) {
+            ExchangeFault.VM_DIES -> victim.die()
+            ExchangeFault.VM_RESTARTS -> {
+                victim.die()
+                at(RESTART_MILLIS) { victim.revive() }
+            }
+            ExchangeFault.VM_JOINS -> victim.revive()
+            ExchangeFault.LINK_STALLS -> victim.stall()
+            ExchangeFault.CONNECTIONS_SILENT -> victim.silence()
+            ExchangeFault.CHUNKS_CORRUPT -> victim.corruptUntil = nowMillis + FAULT_MILLIS
+            ExchangeFault.STORE_DOWN -> storeDownUntil = nowMillis + FAULT_MILLIS
+            ExchangeFault.REGION_CUT -> cutUntil[victim.region] = nowMillis + FAULT_MILLIS
+            ExchangeFault.MEMBERS_DIFFER -> victim.forgetMembers()
+        }
+    }
+
+    private fun isCut(left: Int, right: Int): Boolean =
+        left != right && maxOf(cutUntil[left], cutUntil[right]) > nowMillis
+
     private fun at(delayMillis: Long, action: () -> Unit) {
         events += Scheduled(nowMillis + delayMillis, order++, action)
     }
@@ -120,17 +168,28 @@
         val region = index % scenario.regions
         val up = TransferPacer(scenario.linkBytesPerSecond)
         val down = TransferPacer(scenario.linkBytesPerSecond)
-        private val planner = ExchangePlanner(release, vm, scenario.chunks, scenario.limits, 0)
-        private var neighbours: Set<VmId> = emptySet()
+        private var planner = newPlanner()
+        private val links = LinkedHashSet<Node>()
         private val waiting = HashMap<Int, MutableList<Node>>()
-        private val present = BooleanArray(scenario.chunks)
+        private var present = BooleanArray(scenario.chunks)
+        private var silentUntil = 0L
+        var corruptUntil = 0L
         var inBytes = 0L
         var outBytes = 0L
         var isDead = false
         var isDone = false
 
+        private fun newPlanner() =
+            ExchangePlanner(release, vm, scenario.chunks, scenario.limits, nowMillis)
+
         fun start() {
-            if (isPlainPull) {
+            val joinsLate = scenario.faults.any {
+                it.fault == ExchangeFault.VM_JOINS && nodes[it.victim % nodes.size] === this
+            }
+            if (joinsLate) {
+                isDead = true
+                open--
+            } else if (isPlainPull) {
                 pullNext(0)
             } else {
                 refreshMembers()
@@ -139,16 +198,54 @@
         }
 
         fun die() {
+            if (isDead) return
             if (!isDone) open--
             isDead = true
-            neighbours.forEach { peer ->
-                at(LATENCY_MILLIS) { byId.getValue(peer).planner.onPeerLost(vm) }
-            }
+            links.toList().forEach(::disconnect)
             waiting.forEach { (index, requesters) -> requesters.forEach { it.lose(index) } }
             waiting.clear()
             at(LIST_LAG_MILLIS) { nodes.filterNot { it.isDead }.forEach { it.refreshMembers() } }
         }
 
+        /** Comes back with empty memory. */
+        fun revive() {
+            if (!isDead) return
+            isDead = false
+            isDone = false
+            open++
+            planner = newPlanner()
+            present = BooleanArray(scenario.chunks)
+            refreshMembers()
+            tick()
+            at(LIST_LAG_MILLIS) { nodes.filterNot { it.isDead }.forEach { it.refreshMembers() } }
+        }
+
+        /** Takes all of the link for a while. */
+        fun stall() {
+            val bytes = (scenario.linkBytesPerSecond * FAULT_MILLIS / MILLIS_PER_SECOND).toInt()
+            up.reserve(bytes, nowMillis)
+            down.reserve(bytes, nowMillis)
+        }
+
+        /** Loses all frames until heartbeats find the connections dead and replace them. */
+        fun silence() {
+            silentUntil = nowMillis + SILENCE_MILLIS
+            at(SILENCE_MILLIS) {
+                links.toList().forEach { peer ->
+                    disconnect(peer)
+                    connect(peer)
+                }
+            }
+        }
+
+        /** Knows only itself until the next VM list. */
+        fun forgetMembers() {
+            planner.setMembers(listOf(vm))
+            at(FAULT_MILLIS) { if (!isDead) refreshMembers() }
+        }
+
+        private val isSilent: Boolean get() = nowMillis < silentUntil
+
         private fun refreshMembers() {
             val members = nodes.filter { it.region == region && !it.isDead }.map { it.vm }
             planner.setMembers(members)
@@ -157,15 +254,29 @@
                 planner.setHome(home, directShare(home.size, scenario.regions))
             }
             val chosen = neighboursOf(vm, members, scenario.limits.neighbours, "region-$region")
-            (chosen - neighbours).forEach { peer ->
-                at(LATENCY_MILLIS) {
-                    receive {
-                        planner.onPeerBitmap(peer, byId.getValue(peer).planner.bitmap(), nowMillis)
-                    }
-                }
-            }
-            (neighbours - chosen).forEach { planner.onPeerLost(it) }
-            neighbours = chosen
+                .filter { vm.value < it.value }
+                .map(byId::getValue)
+            links.filter { vm.value < it.vm.value && it !in chosen }.forEach(::disconnect)
+            chosen.filter { it !in links }.forEach(::connect)
+        }
+
+        private fun connect(peer: Node) {
+            links += peer
+            peer.links += this
+            at(LATENCY_MILLIS) { exchangeBitmaps(peer) }
+        }
+
+        private fun exchangeBitmaps(peer: Node) {
+            if (isDead || peer.isDead) return
+            receive { planner.onPeerBitmap(peer.vm, peer.planner.bitmap(), nowMillis) }
+            peer.receive { peer.planner.onPeerBitmap(vm, planner.bitmap(), nowMillis) }
+        }
+
+        private fun disconnect(peer: Node) {
+            links -= peer
+            peer.links -= this
+            planner.onPeerLost(peer.vm)
+            peer.planner.onPeerLost(vm)
         }
 
         private fun tick() {
@@ -183,7 +294,7 @@
         }
 
         private fun receive(input: () -> Unit) {
-            if (isDead || isDone) return
+            if (isDead || isDone || isSilent) return
             messages++
             input()
             plan()
@@ -194,12 +305,12 @@
         private fun apply(effect: ExchangeEffect) {
             when (effect) {
                 is ExchangeEffect.Fetch -> fetch(effect)
-                is ExchangeEffect.Announce -> neighbours.map(byId::getValue).forEach { peer ->
+                is ExchangeEffect.Announce -> links.forEach { peer ->
                     at(LATENCY_MILLIS) {
                         peer.receive { peer.planner.onPeerChunk(vm, effect.index, nowMillis) }
                     }
                 }
-                is ExchangeEffect.Choke -> neighbours.map(byId::getValue).forEach { peer ->
+                is ExchangeEffect.Choke -> links.forEach { peer ->
                     at(LATENCY_MILLIS) {
                         peer.receive { peer.planner.onPeerChoked(vm, effect.isChoked) }
                     }
@@ -222,6 +333,10 @@
         }
 
         private fun fromOrigin(index: Int, arrived: (Int) -> Unit) {
+            if (nowMillis < storeDownUntil || isCut(region, 0)) {
+                lose(index)
+                return
+            }
             val size = scenario.chunkBytes
             originBytes += size
             val waits =
@@ -238,14 +353,17 @@
         private fun request(requester: Node, index: Int) {
             messages++
             when {
-                isDead -> requester.lose(index)
+                isDead || isSilent || requester.isSilent || isCut(region, requester.region) ->
+                    requester.lose(index)
                 present[index] -> send(requester, index)
                 else -> waiting.getOrPut(index) { mutableListOf() } += requester
             }
         }
 
         private fun lose(index: Int) {
-            at(SILENCE_MILLIS) { receive { planner.onFailed(index, corrupt = false, nowMillis) } }
+            at(SILENCE_MILLIS) {
+                if (!isDead && !isDone) planner.onFailed(index, corrupt = false, nowMillis)
+            }
         }
 
         private fun send(requester: Node, index: Int) {
@@ -260,7 +378,7 @@
             planner.onUploaded().forEach(::apply)
             requester.inBytes += size
             at(waits.max() + transferMillis(size) + 2 * LATENCY_MILLIS) {
-                if (!requester.isDead && !isDead) requester.arrive(index) else requester.lose(index)
+                if (isDead || isSilent) requester.lose(index) else requester.arrive(index)
             }
         }
 
@@ -268,15 +386,18 @@
             size * MILLIS_PER_SECOND / scenario.linkBytesPerSecond
 
         private fun arrive(index: Int) {
-            if (isDone) return
+            if (isDone || isDead) return
             messages++
-            val isCorrupt = random.nextDouble() < scenario.corruptShare
+            val isCorrupt =
+                nowMillis < corruptUntil || random.nextDouble() < scenario.corruptShare
             if (isCorrupt) {
                 planner.onFailed(index, corrupt = true, nowMillis)
             } else {
                 present[index] = true
                 waiting.remove(index)?.forEach { send(it, index) }
                 planner.onVerified(index, nowMillis).forEach(::apply)
+                arrivals++
+                strikeDue()
             }
             if (!isDone) plan()
         }
