--- a/bench/src/main/kotlin/org/toucanspur/bench/Callers.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/Callers.kt
@@ -30,7 +30,8 @@
     val status: Int,
     val body: String,
     val firstByteMillis: Long,
-    val elapsedMillis: Long
+    val elapsedMillis: Long,
+    val tag: String = ""
 ) {
     /** Whether the answer is a success. */
     val isOk: Boolean get() = status in 200..299
@@ -99,9 +100,9 @@
             }
             val text = response.bodyAsText()
             val elapsed = monotonicMillis() - startMillis
-            CallerAnswer(response.status.value, text, elapsed, elapsed)
+            CallerAnswer(response.status.value, text, elapsed, elapsed, body)
         } catch (e: IOException) {
-            CallerAnswer(0, "${e.message}", 0, monotonicMillis() - startMillis)
+            CallerAnswer(0, "${e.message}", 0, monotonicMillis() - startMillis, body)
         }
     }
 
--- /dev/null
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/ControlMeasurement.kt
@@ -0,0 +1,124 @@
+/*
+ * What an idle process spends on control, against its number of peers.
+ */
+package org.toucanspur.bench.measure
+
+import com.sun.management.OperatingSystemMXBean
+import java.lang.management.ManagementFactory
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.toucanspur.core.membership.heartbeatPaceMillis
+import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.daemon.transport.encodeFrame
+import org.toucanspur.schema.EndpointStatus
+import org.toucanspur.schema.Incarnation
+import org.toucanspur.schema.Ping
+import org.toucanspur.schema.PoolId
+import org.toucanspur.schema.RegionId
+import org.toucanspur.schema.ReleaseDigest
+import org.toucanspur.schema.Report
+import org.toucanspur.schema.Revision
+import org.toucanspur.schema.VmId
+import org.toucanspur.schema.ZoneId
+import org.toucanspur.standin.EngineBehaviour
+
+private const val IDLE_MILLIS = 8000L
+private const val SETTLE_MILLIS = 2000L
+private const val CAPACITY = 8
+private const val NANOS_PER_MILLI = 1_000_000.0
+private const val PERCENT = 100.0
+private const val MIB = 1024.0 * 1024
+private const val TARGET_CONNECTIONS = 96
+private const val FRAME_PREFIX_BYTES = 4
+private const val TCP_BYTES = 66
+private const val MILLIS_PER_SECOND = 1000.0
+
+/**
+ * `control`: processor time and heap per node at two sizes; bytes from the frames and their pace.
+ */
+internal class ControlMeasurement : Measurement {
+    override val name = "control"
+
+    private class Figures(
+        val nodes: Int,
+        val links: Int,
+        val cpuPercent: Double,
+        val heapMib: Double
+    )
+
+    override suspend fun run(options: Options): JsonObject {
+        val small = measure(agents = 4, entries = 4)
+        val large = measure(agents = 16, entries = 8)
+        val cpuPerLink = (large.cpuPercent - small.cpuPercent) / (large.links - small.links)
+        val heapPerLink = (large.heapMib - small.heapMib) / (large.links - small.links)
+        listOf(small, large).forEach {
+            println(
+                "${it.nodes} nodes, ${it.links} links: " +
+                    "${it.cpuPercent}% of a core, ${it.heapMib} MiB heap in all"
+            )
+        }
+        val cpuPerNode = maxOf(0.0, small.cpuPercent - cpuPerLink * small.links) / small.nodes
+        val heapPerNode = maxOf(0.0, small.heapMib - heapPerLink * small.links) / small.nodes
+        return buildJsonObject {
+            put("cpuPercentAtTarget", cpuPerNode + cpuPerLink * TARGET_CONNECTIONS)
+            put("bytesPerSecondAtTarget", bytesPerSecond(TARGET_CONNECTIONS))
+            put("controlMemoryMiBAtTarget", heapPerNode + heapPerLink * TARGET_CONNECTIONS)
+            put("connectionsAtTarget", TARGET_CONNECTIONS)
+        }
+    }
+
+    private suspend fun measure(agents: Int, entries: Int): Figures {
+        val heapBefore = usedHeapMib()
+        val cluster =
+            measurementCluster(
+                engines = 0,
+                EngineBehaviour(CAPACITY),
+                services = agents,
+                entries = entries
+            )
+        delay(SETTLE_MILLIS)
+        val cpuBefore = cpuNanos()
+        val startMillis = monotonicMillis()
+        delay(IDLE_MILLIS)
+        val elapsed = monotonicMillis() - startMillis
+        val cpu = (cpuNanos() - cpuBefore) / NANOS_PER_MILLI / elapsed * PERCENT
+        val heap = usedHeapMib() - heapBefore
+        cluster.close()
+        return Figures(agents + entries, agents * entries, cpu, heap)
+    }
+
+    private fun cpuNanos(): Long {
+        val system = ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean
+        return system.processCpuTime
+    }
+
+    private fun usedHeapMib(): Double {
+        System.gc()
+        return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() } / MIB
+    }
+
+    // Both directions of an idle connection: a ping and its pong each way, and a report.
+    private fun bytesPerSecond(connections: Int): Double {
+        val ping = encodeFrame(Ping(1, 1, Revision(1), 1)).size + FRAME_PREFIX_BYTES + TCP_BYTES
+        val report = encodeFrame(Report(status())).size + FRAME_PREFIX_BYTES + TCP_BYTES
+        val perRound = 4 * ping + report
+        return connections * perRound * MILLIS_PER_SECOND / heartbeatPaceMillis(connections)
+    }
+
+    private fun status() = EndpointStatus(
+        VmId("writer-1234"),
+        Incarnation(1_700_000_000_000),
+        PoolId("toucan-writers"),
+        ZoneId("cairo-nasr"),
+        RegionId("cairo"),
+        1,
+        Revision(1),
+        ReleaseDigest("0".repeat(64)),
+        1,
+        1,
+        1,
+        true
+    )
+}
--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/Main.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/Main.kt
@@ -1,6 +1,6 @@
 /*
- * Entry point of `bin/measure NAME [--option value ...]`. Each measurement prints one JSON object as
- * its last line.
+ * Entry point of `bin/measure NAME [--option value ...]`. Each measurement prints one JSON object
+ * as its last line.
  */
 package org.toucanspur.bench.measure
 
@@ -29,7 +29,13 @@
 
 private val measurements = listOf<Measurement>(
     WeightsMeasurement(),
-    SlowReadersMeasurement()
+    SlowReadersMeasurement(),
+    ZoneMeasurement(),
+    OverheadMeasurement(),
+    OverloadMeasurement(),
+    ConfigMeasurement(),
+    TimelineMeasurement(),
+    ControlMeasurement()
 )
 
 private const val EXIT_USAGE = 2
--- a/bench/src/test/kotlin/org/toucanspur/bench/faults/AtMostOnceRequestFlow.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/faults/AtMostOnceRequestFlow.kt
@@ -1,6 +1,6 @@
 /*
- * An at-most-once request with a key, submitted by its caller up to three times through two entries,
- * to two agents. The claim, the record and the decisions are the real ones.
+ * An at-most-once request with a key, submitted by its caller up to three times through two
+ * entries, to two agents. The claim, the record and the decisions are the real ones.
  */
 package org.toucanspur.bench.faults
 
--- a/bench/src/test/kotlin/org/toucanspur/bench/faults/ConfigurationFlow.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/faults/ConfigurationFlow.kt
@@ -1,5 +1,6 @@
 /*
- * Two operators submit documents; three processes learn of them by watch, by relay and by heartbeat.
+ * Two operators submit documents; three processes learn of them by watch, by relay and by
+ * heartbeat.
  */
 package org.toucanspur.bench.faults
 
--- a/bench/src/test/kotlin/org/toucanspur/bench/faults/ExchangeFlow.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/faults/ExchangeFlow.kt
@@ -1,6 +1,6 @@
 /*
- * The exchange of a release among twelve VMs of three regions. A fault strikes when the share of all
- * chunks that has arrived reaches a step.
+ * The exchange of a release among twelve VMs of three regions. A fault strikes when the share of
+ * all chunks that has arrived reaches a step.
  */
 package org.toucanspur.bench.faults
 
--- a/bench/src/test/kotlin/org/toucanspur/bench/faults/FaultMatrix.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/faults/FaultMatrix.kt
@@ -1,6 +1,6 @@
 /*
- * The fault matrix: every fault at every step of a flow, alone, twice and in seeded pairs. Each cell
- * is a run of the real state machines under virtual time.
+ * The fault matrix: every fault at every step of a flow, alone, twice and in seeded pairs. Each
+ * cell is a run of the real state machines under virtual time.
  */
 package org.toucanspur.bench.faults
 
--- a/bench/src/test/kotlin/org/toucanspur/bench/faults/StreamFlow.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/faults/StreamFlow.kt
@@ -1,6 +1,6 @@
 /*
- * One answer from an agent's buffer to an entry's assembler, in frames that a faulty connection may
- * drop, double, delay or cross with those of another answer.
+ * One answer from an agent's buffer to an entry's assembler, in frames that a faulty connection
+ * may drop, double, delay or cross with those of another answer.
  */
 package org.toucanspur.bench.faults
 
--- a/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
@@ -1,12 +1,13 @@
 /*
- * Decides, for one release on one VM, which chunks to fetch from where. Chunks enter a region through
- * importers: for each chunk the live VMs of the region are ranked by rendezvous hashing, the first
- * one imports it, and the next in rank steps in when the region has learned of no new chunk for a
- * timeout. Only the region nearest to the weight store imports from it; the importers of the other
- * regions ask the importer of that region, and the weight store when that fails. Inside a region a
- * bounded set of neighbours exchanges chunks, rarest first.
+ * Decides, for one release on one VM, which chunks to fetch from where. Chunks enter a region
+ * through importers: for each chunk the live VMs of the region are ranked by rendezvous hashing,
+ * the first one imports it, and the next in rank steps in when the region has learned of no new
+ * chunk for a timeout. Only the region nearest to the weight store imports from it; the importers
+ * of the other regions ask the importer of that region, and the weight store when that fails.
+ * Inside a region a bounded set of neighbours exchanges chunks, rarest first.
  *
- * The planner does no I/O and reads no clock; it runs the same under virtual time and in the agent.
+ * The planner does no I/O and reads no clock; it runs the same under virtual time and in the
+ * agent.
  */
 package org.toucanspur.core.weights
 
@@ -99,8 +100,8 @@
     fun setMembers(vms: Collection<VmId>) = duties.setMembers(vms)
 
     /**
-     * Sets the VMs of the region nearest to the weight store, empty when this is that region, and the
-     * share of the chunks that this region imports from the weight store all the same.
+     * Sets the VMs of the region nearest to the weight store, empty when this is that region, and
+     * the share of the chunks that this region imports from the weight store all the same.
      */
     fun setHome(vms: Collection<VmId>, directShare: Double) {
         duties.setHome(vms, directShare)
@@ -154,8 +155,8 @@
         return listOfNotNull(chokeChange())
     }
 
-    // A VM that has sent more than it received asks its neighbours to spare it, so that all links carry
-    // about the same.
+    // A VM that has sent more than it received asks its neighbours to spare it, so that all links
+    // carry about the same.
     private fun chokeChange(): ExchangeEffect? {
         val allowed = heldCount + total * limits.uploadSlackPercent / PERCENT
         val isOver = uploads > allowed
@@ -262,8 +263,8 @@
     private fun isImport(source: ChunkSource): Boolean =
         source is ChunkSource.Store || (source is ChunkSource.Peer && source.isRemote)
 
-    // Imports advance in an order that all VMs share, a window ahead of what the region is known to
-    // hold, so that the links into the region carry no long queues.
+    // Imports advance in an order that all VMs share, a window ahead of what the region is known
+    // to hold, so that the links into the region carry no long queues.
     private fun planImports(nowMillis: Long, effects: MutableList<ExchangeEffect>) {
         if (imports >= limits.importsMax || nowMillis < importRetryMillis) return
         val rankLimit = pace.stalls(nowMillis)
--- a/core/src/main/kotlin/org/toucanspur/core/weights/ImportDuties.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ImportDuties.kt
@@ -53,8 +53,8 @@
     }
 
     /**
-     * Sets the VMs of the region nearest to the weight store, empty when this is that region, and the
-     * share of the chunks that are imported from the weight store all the same.
+     * Sets the VMs of the region nearest to the weight store, empty when this is that region, and
+     * the share of the chunks that are imported from the weight store all the same.
      */
     fun setHome(vms: Collection<VmId>, share: Double) {
         directShare = share
@@ -63,8 +63,8 @@
     }
 
     /**
-     * The VM to import the chunk at [index] from, at the given [attempt] from 0; null when it comes
-     * from the weight store.
+     * The VM to import the chunk at [index] from, at the given [attempt] from 0; null when it
+     * comes from the weight store.
      */
     fun homeImporter(index: Int, attempt: Int): VmId? {
         if (turns[index] % SHARE_PARTS < directShare * SHARE_PARTS) return null
--- a/core/src/main/kotlin/org/toucanspur/core/weights/PeerBook.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/PeerBook.kt
@@ -52,7 +52,9 @@
         peers.getOrPut(vm) { Peer(BitSet(chunkCount)) }.isChoked = isChoked
     }
 
-    /** Charges [vm] with a corrupt chunk: it is avoided for a time that doubles with each charge. */
+    /**
+     * Charges [vm] with a corrupt chunk: it is avoided for a time that doubles with each charge.
+     */
     fun charge(vm: VmId, nowMillis: Long) {
         val peer = peers[vm] ?: return
         peer.charge += 1
@@ -76,8 +78,8 @@
             peer.chunks.get(index)
 
     /**
-     * The neighbour to fetch the chunk at [index] from, or null when all are busy or avoided. Equal
-     * shares of the fetches keep the uploads of the neighbours even.
+     * The neighbour to fetch the chunk at [index] from, or null when all are busy or avoided.
+     * Equal shares of the fetches keep the uploads of the neighbours even.
      */
     fun bestFor(index: Int, limits: ExchangeLimits, nowMillis: Long): VmId? = peers.entries
         .filter { isUsable(it.value, index, limits, nowMillis) }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/AgentNode.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/AgentNode.kt
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.combine
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -234,7 +235,10 @@
             record.pool in sameModel
     }
 
+    // Plain services hold no weights, so they need neither lease nor orders.
     private suspend fun followEngine() {
+        base.documents.documents.first { pool != null }
+        if (!isEngine) return
         orders.start(base.scope)
         base.scope.launch {
             orders.routable.collect {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/ReleaseTransfer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/ReleaseTransfer.kt
@@ -45,8 +45,9 @@
 private const val REMOTE_WAIT_MILLIS = 30_000L
 
 /**
- * VMs that want a release: those of the own [region], and those of the region nearest to the weight
- * store ([home], empty when it is the own one), with the share to import from the store all the same.
+ * VMs that want a release: those of the own [region], and those of the region nearest to the
+ * weight store ([home], empty when it is the own one), with the share to import from the store all
+ * the same.
  */
 data class ReleaseMembers(
     val region: List<VmId>,
@@ -235,8 +236,8 @@
     }
 
     /**
-     * A manifest blob or chunk for a peer; empty when it is not here. A chunk that is about to come
-     * is waited for when [isRemote], because the importers of other regions follow this one.
+     * A manifest blob or chunk for a peer; empty when it is not here. A chunk that is about to
+     * come is waited for when [isRemote], because the importers of other regions follow this one.
      */
     suspend fun serve(digest: ChunkDigest, isRemote: Boolean): ByteArray {
         val present = manifestBlobs[digest] ?: context.memory.get(digest)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/RequestService.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/RequestService.kt
@@ -52,6 +52,9 @@
 private const val LINGER_MILLIS = 10_000L
 private const val PARK_AFTER_MILLIS = 250L
 private const val TICK_MILLIS = 200L
+
+// An engine notices that a call was broken off some time later, and bears it until then.
+private const val CANCEL_GRACE_MILLIS = 100L
 private const val RETRY_AFTER_MILLIS = 1000L
 
 /** What the service needs to know of its surroundings. */
@@ -245,7 +248,10 @@
         } catch (e: IOException) {
             onFailure(request, e)
         } catch (e: CancellationException) {
-            release(request, null)
+            scope.launch {
+                delay(CANCEL_GRACE_MILLIS)
+                release(request, null)
+            }
             throw e
         }
     }
@@ -291,6 +297,7 @@
     // While parked, a request holds its window of bytes and no place at the endpoint.
     private suspend fun park(request: ActiveRequest) {
         val id = request.submit.requestId
+        delay(CANCEL_GRACE_MILLIS)
         release(request, null)
         request.buffer.awaitRoom()
         while (true) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/entry/CallerServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/entry/CallerServer.kt
@@ -1,6 +1,6 @@
 /*
- * The HTTP server towards callers. Its buffers per connection are small, so that a slow caller holds
- * back the relay instead of filling memory, and requests with two body lengths are rejected.
+ * The HTTP server towards callers. Its buffers per connection are small, so that a slow caller
+ * holds back the relay instead of filling memory, and requests with two body lengths are rejected.
  */
 package org.toucanspur.daemon.entry
 
@@ -40,6 +40,7 @@
         responseWriteTimeoutSeconds = NO_TIMEOUT
         httpServerCodec = ::strictCodec
         configureBootstrap = {
+            childOption(ChannelOption.TCP_NODELAY, true)
             childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             childOption(
                 ChannelOption.WRITE_BUFFER_WATER_MARK,
@@ -57,8 +58,8 @@
     override fun newEmptyHeaders(): HttpHeaders = StrictHeaders()
 }
 
-// The decoder resolves conflicting lengths in favour of one of them; a proxy in front may have chosen
-// the other, so the request is rejected when the second one is read.
+// The decoder resolves conflicting lengths in favour of one of them; a proxy in front may have
+// chosen the other, so the request is rejected when the second one is read.
 private class StrictHeaders : DefaultHttpHeaders() {
     override fun add(name: CharSequence, value: Any): HttpHeaders {
         val conflicting = when {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/entry/SocketDrain.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/entry/SocketDrain.kt
@@ -1,6 +1,6 @@
 /*
- * Waits until the socket of a call has taken what was written. The HTTP server's own channels accept
- * up to 1 MiB per answer before they hold back, which would be held for every slow caller.
+ * Waits until the socket of a call has taken what was written. The HTTP server's own channels
+ * accept up to 1 MiB per answer before they hold back, which would be held for every slow caller.
  */
 package org.toucanspur.daemon.entry
 
--- a/standin/src/main/kotlin/org/toucanspur/standin/PlainService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/PlainService.kt
@@ -26,6 +26,9 @@
     /** Runs per method, path and body. */
     val runs = ConcurrentHashMap<String, AtomicInteger>()
 
+    /** Calls begun. */
+    val started = AtomicInteger(0)
+
     /** Most calls at once. */
     val peak = AtomicInteger(0)
 
@@ -44,6 +47,7 @@
 
     private suspend fun work(call: ApplicationCall) {
         val body = call.receiveText()
+        started.incrementAndGet()
         peak.accumulateAndGet(running.incrementAndGet(), ::maxOf)
         try {
             val name = "${call.request.httpMethod.value} ${call.request.path()} $body"
