--- a/daemon/src/main/kotlin/org/toucanspur/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/Main.kt
@@ -18,6 +18,7 @@
 import org.toucanspur.schema.DaemonRole
 import org.toucanspur.schema.LogFormat
 
+private const val EXIT_OK = 0
 private const val EXIT_FAILED = 1
 private const val EXIT_USAGE = 2
 private const val USAGE = "usage: toucanspurd --settings FILE.ini"
@@ -59,14 +60,14 @@
         System.err.println("toucanspurd: listening failed (${e.message}); check section [listen]")
         exitProcess(EXIT_FAILED)
     }
-    val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
         Thread {
             runBlocking { daemon.shutdown() }
-            stopped.countDown()
+            // Without this the exit code would tell of the signal, not of the graceful shutdown.
+            Runtime.getRuntime().halt(EXIT_OK)
         }
     )
-    stopped.await()
+    CountDownLatch(1).await()
 }
 
 private fun readSettings(args: Array<String>): DaemonConfiguration {
