--- a/codegen/src/main/kotlin/org/toucanspur/codegen/Main.kt
+++ b/codegen/src/main/kotlin/org/toucanspur/codegen/Main.kt
@@ -24,11 +24,13 @@
     val messages = Json.decodeFromString<MessageSchema>(schemas.resolve("messages.json").text())
     val settings = Json.decodeFromString<FileSchema>(schemas.resolve("settings.json").text())
     val environment = Json.decodeFromString<FileSchema>(schemas.resolve("environment.json").text())
+    val node = Json.decodeFromString<FileSchema>(schemas.resolve("node.json").text())
     val files = generateMessages(messages) +
         generateFile(settings, "settings.json") +
-        generateFile(environment, "environment.json")
+        generateFile(environment, "environment.json") +
+        generateFile(node, "node.json")
     val sources = files.associate { generated.resolve("${it.name}.kt") to it.toString() }
-    val docs = generateConfigurationDocs(listOf(settings, environment))
+    val docs = generateConfigurationDocs(listOf(settings, environment, node))
     return sources + (root.resolve("docs/CONFIGURATION.md") to docs)
 }
 
--- a/codegen/src/main/kotlin/org/toucanspur/codegen/MessageGenerator.kt
+++ b/codegen/src/main/kotlin/org/toucanspur/codegen/MessageGenerator.kt
@@ -21,7 +21,7 @@
 private val serialName = ClassName("kotlinx.serialization", "SerialName")
 private val byteString = ClassName("kotlinx.serialization.cbor", "ByteString")
 private val frame = ClassName(SCHEMA_PACKAGE, "Frame")
-private val builtIn = setOf("String", "Int", "Long", "Boolean", "ByteArray")
+private val builtIn = setOf("String", "Int", "Long", "Double", "Boolean", "ByteArray")
 
 internal fun generateMessages(schema: MessageSchema): List<FileSpec> {
     val ids = file("Ids")
--- a/codegen/src/main/kotlin/org/toucanspur/codegen/SettingsGenerator.kt
+++ b/codegen/src/main/kotlin/org/toucanspur/codegen/SettingsGenerator.kt
@@ -147,6 +147,7 @@
 
 private fun keyType(section: SectionSchema, key: KeySchema): TypeName = when (key.type) {
     "int" -> typeName("Int")
+    "decimal" -> typeName("Double")
     "choice" -> typeName(choiceName(section, key))
     "names" -> list.parameterizedBy(typeName(key.id ?: "String"))
     "routes" -> list.parameterizedBy(typeName("Route"))
@@ -158,6 +159,7 @@
     val quoted = "\"${key.key}\""
     return when (key.type) {
         "int" -> "values.int($quoted)"
+        "decimal" -> "values.decimal($quoted)"
         "choice" -> "${choiceName(section, key)}.valueOf(values.string($quoted).uppercase())"
         "names" -> "values.names($quoted)" + (key.id?.let { ".map(::$it)" } ?: "")
         "routes" -> "values.routes($quoted)"
--- a/core/src/main/kotlin/org/toucanspur/core/config/DocumentCheck.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/config/DocumentCheck.kt
@@ -11,11 +11,15 @@
 import org.toucanspur.schema.DaemonConfiguration
 import org.toucanspur.schema.DaemonRole
 import org.toucanspur.schema.EnvironmentConfiguration
+import org.toucanspur.schema.NodeConfiguration
+import org.toucanspur.schema.NodeRole
 import org.toucanspur.schema.SectionValues
 import org.toucanspur.schema.daemonConfiguration
 import org.toucanspur.schema.daemonFileSpec
 import org.toucanspur.schema.environmentConfiguration
 import org.toucanspur.schema.environmentFileSpec
+import org.toucanspur.schema.nodeConfiguration
+import org.toucanspur.schema.nodeFileSpec
 
 /** A document without errors; [warnings] are for the operator's eyes. */
 data class CheckedDocument(
@@ -47,6 +51,28 @@
     return if (findings.isEmpty()) Ok(settings) else Err(findings)
 }
 
+/** Checks the settings of a process in a platform deployment; returns all findings. */
+fun checkNodeSettings(file: String, text: String): Result<NodeConfiguration, List<Finding>> {
+    val keys = checkKeys(file, text, nodeFileSpec)
+    if (keys.hasErrors) return Err(keys.findings)
+    val settings = nodeConfiguration(keys.values)
+    val missing = when (settings.node.role) {
+        NodeRole.ENTRY -> listOf(
+            Triple("addresses", "callers", settings.addresses.callers),
+            Triple("addresses", "readiness", settings.addresses.readiness)
+        )
+        NodeRole.AGENT -> listOf(
+            Triple("engine", "address", settings.engine.address),
+            Triple("engine", "service", settings.engine.service.value)
+        )
+    }.filter { it.third == "none" || it.third.isEmpty() }
+    val findings = missing.map { (section, key, _) ->
+        val line = keys.locations.line(section)
+        Finding(file, line, "role ${settings.node.role} lacks \"$key\" in [$section]; add it")
+    }
+    return if (findings.isEmpty()) Ok(settings) else Err(findings)
+}
+
 private fun agentFindings(
     file: String,
     settings: DaemonConfiguration,
--- a/core/src/main/kotlin/org/toucanspur/core/config/KeyChecker.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/config/KeyChecker.kt
@@ -181,6 +181,9 @@
 /** The fault of [value] as a value of [key], with its remedy, or null when it is valid. */
 internal fun valueFault(key: KeySpec, value: String): String? = when (key.type) {
     KeyType.INT -> intFault(key, value)
+    KeyType.DECIMAL -> fault((value.toDoubleOrNull() ?: -1.0) < 0) {
+        "\"$value\" is no number for \"${key.key}\"; use a decimal of 0 or more"
+    }
     KeyType.CHOICE -> fault(value !in key.choices) {
         "\"$value\" is no value of \"${key.key}\"; use one of: ${key.choices.joinToString()}"
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -0,0 +1,39 @@
+/*
+ * Which weight versions requests may begin on. A version that the operator names must be in use
+ * everywhere within a bound; shortly before it ends, only endpoints that confirmed the version get
+ * requests, and each request names it, so that an endpoint that is behind refuses it unrun.
+ */
+package org.toucanspur.core.gateway
+
+import org.toucanspur.schema.ModelId
+
+/** Named versions of all models. */
+class VersionGate(private val boundMillis: Long) {
+    private val named = HashMap<ModelId, ArrayDeque<Named>>()
+
+    /** Notes that [version] of [model] is named, as seen at [nowMillis]. */
+    fun onNamed(model: ModelId, version: Long, nowMillis: Long) {
+        val versions = named.getOrPut(model) { ArrayDeque() }
+        if (versions.isNotEmpty() && versions.last().version >= version) return
+        versions.addLast(Named(version, nowMillis))
+        while (versions.size > KEPT_MAX) versions.removeFirst()
+    }
+
+    /** The newest named version of [model], or 0. */
+    fun newest(model: ModelId): Long = named[model]?.lastOrNull()?.version ?: 0
+
+    /** Lowest version that a request for [model] may begin on at [nowMillis]; 0 for any. */
+    fun versionMin(model: ModelId?, nowMillis: Long): Long {
+        if (boundMillis <= 0 || model == null) return 0
+        val due = named[model]?.lastOrNull { nowMillis - it.seenMillis >= boundMillis - MARGIN_MILLIS }
+        return due?.version ?: 0
+    }
+
+    private class Named(val version: Long, val seenMillis: Long)
+
+    private companion object {
+        // News of the version, and the wait of a request in an endpoint's queue.
+        const val MARGIN_MILLIS = 1200L
+        const val KEPT_MAX = 8
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/LoadSchedule.kt
@@ -0,0 +1,32 @@
+/*
+ * When an endpoint loads a weight version. Load pattern: an endpoint that loads takes nothing new
+ * until its running requests have ended, so that loads at the same moment would leave no capacity
+ * at all. The loads of a service are spread over the middle of the bound within which the version
+ * must be in use.
+ */
+package org.toucanspur.core.weights
+
+import org.toucanspur.core.membership.rendezvousRank
+import org.toucanspur.schema.VmId
+
+// The first part of the bound is for the transfer, the last one for the last load.
+private const val FIRST_LOAD_SHARE = 0.4
+private const val SPREAD_SHARE = 0.35
+
+/** Time of a load, in milliseconds after [namedMillis], among [members] that load the version. */
+fun loadTimeMillis(
+    namedMillis: Long,
+    boundMillis: Long,
+    version: String,
+    self: VmId,
+    members: Collection<VmId>
+): Long {
+    if (boundMillis <= 0) return namedMillis
+    val all = (members + self).distinct()
+    val rank = rendezvousRank(version, all, all.size) { it.value }.indexOf(self)
+    val offset = FIRST_LOAD_SHARE + SPREAD_SHARE * rank / all.size
+    return namedMillis + (boundMillis * offset).toLong()
+}
+
+/** Whether a transfer that has [held] of [total] pieces ends before a newer version starts. */
+fun finishesFirst(held: Int, total: Int): Boolean = total > 0 && held * 2 >= total
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/Main.kt
@@ -1,5 +1,6 @@
 /*
- * The daemon `toucanspurd`: `toucanspurd --settings FILE.ini`. Exit codes: 0 after a graceful
+ * The daemon `toucanspurd`: `toucanspurd --settings FILE.ini`, or `toucanspurd --platform` where
+ * the platform renders the settings and says where they are. Exit codes: 0 after a graceful
  * shutdown, 1 when the process cannot start, 2 for wrong arguments or settings.
  */
 package org.toucanspur.daemon
@@ -14,6 +15,8 @@
 import org.toucanspur.core.config.checkSettings
 import org.toucanspur.daemon.agent.AgentNode
 import org.toucanspur.daemon.entry.EntryNode
+import org.toucanspur.daemon.node.runPlatformDaemon
+import org.toucanspur.platform.platformSettingsPath
 import org.toucanspur.schema.DaemonConfiguration
 import org.toucanspur.schema.DaemonRole
 import org.toucanspur.schema.LogFormat
@@ -21,7 +24,7 @@
 private const val EXIT_OK = 0
 private const val EXIT_FAILED = 1
 private const val EXIT_USAGE = 2
-private const val USAGE = "usage: toucanspurd --settings FILE.ini"
+private const val USAGE = "usage: toucanspurd --settings FILE.ini | --platform"
 
 /** A running process of either role. */
 class RunningDaemon(val shutdown: suspend () -> Unit)
@@ -43,6 +46,10 @@
 
 /** Entry point of the daemon. */
 fun main(args: Array<String>) {
+    if (args.contentEquals(arrayOf("--platform"))) {
+        runPlatformDaemon(platformSettingsPath() ?: usage())
+        return
+    }
     val settings = readSettings(args)
     System.setProperty(
         "toucanspur.log.format",
@@ -70,11 +77,13 @@
     CountDownLatch(1).await()
 }
 
+private fun usage(): Nothing {
+    System.err.println(USAGE)
+    exitProcess(EXIT_USAGE)
+}
+
 private fun readSettings(args: Array<String>): DaemonConfiguration {
-    if (args.size != 2 || args[0] != "--settings") {
-        System.err.println(USAGE)
-        exitProcess(EXIT_USAGE)
-    }
+    if (args.size != 2 || args[0] != "--settings") usage()
     val text = try {
         Files.readString(Path.of(args[1]))
     } catch (e: IOException) {
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
@@ -0,0 +1,62 @@
+/*
+ * Reports the load of the endpoint to the entries that asked lately. Reports are pushed when the
+ * load changes, and twice a second otherwise.
+ */
+package org.toucanspur.daemon.engine
+
+import java.net.InetSocketAddress
+import org.toucanspur.core.weights.EngineReport
+import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.daemon.net.Datagrams
+import org.toucanspur.daemon.transport.encodeFrame
+import org.toucanspur.schema.LoadReport
+import org.toucanspur.schema.ModelId
+import org.toucanspur.schema.VmId
+
+/** Pushes reports through [datagrams]. */
+class LoadReporter(private val vm: VmId, private val datagrams: Datagrams) {
+    private val subscribers = HashMap<InetSocketAddress, Long>()
+    private var sequence = 0L
+    private var last: LoadReport? = null
+    private var lastMillis = 0L
+
+    /** Entries that asked lately. */
+    val entries: Int get() = subscribers.size
+
+    /** Notes that an entry asks for reports. */
+    fun onQuery(from: InetSocketAddress) {
+        subscribers[from] = monotonicMillis()
+    }
+
+    /** Pushes the state of the endpoint; [report] is null when it does not answer. */
+    fun push(report: EngineReport?, model: ModelId?, isLoading: Boolean) {
+        val now = monotonicMillis()
+        subscribers.values.removeIf { now - it > SUBSCRIPTION_MILLIS }
+        if (subscribers.isEmpty()) return
+        val next = LoadReport(
+            vm = vm,
+            startedAtMillis = report?.startedAtMillis ?: 0,
+            sequence = sequence,
+            running = report?.running ?: 0,
+            waiting = report?.waiting ?: 0,
+            loadedVersion = model?.let { report?.loadedVersions?.get(it) } ?: 0,
+            isLoading = isLoading || report == null,
+            pacePercent = report?.pacePercent ?: USUAL_PACE,
+            entries = subscribers.size
+        )
+        if (next == last && now - lastMillis < IDLE_MILLIS) return
+        last = next.copy(sequence = sequence + 1)
+        sequence++
+        lastMillis = now
+        val bytes = encodeFrame(checkNotNull(last))
+        subscribers.keys.forEach { datagrams.sendEncoded(bytes, it) }
+    }
+
+    private companion object {
+        const val USUAL_PACE = 100
+
+        // Entries ask once a second.
+        const val SUBSCRIPTION_MILLIS = 3500L
+        const val IDLE_MILLIS = 250L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
@@ -0,0 +1,216 @@
+/*
+ * Brings one weight version into the library: the manifest first, then the pieces as the planner
+ * decides. The planner's chunks are the pieces of the version.
+ */
+package org.toucanspur.daemon.engine
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.put
+import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.weights.ChunkSource
+import org.toucanspur.core.weights.ExchangeEffect
+import org.toucanspur.core.weights.ExchangeLimits
+import org.toucanspur.core.weights.ExchangePlanner
+import org.toucanspur.core.weights.PieceManifest
+import org.toucanspur.core.weights.PieceOrigin
+import org.toucanspur.daemon.log.DecisionLog
+import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.schema.PieceQuery
+import org.toucanspur.schema.PieceReply
+import org.toucanspur.schema.PieceStatus
+import org.toucanspur.schema.ReleaseDigest
+import org.toucanspur.schema.VmId
+
+/** Agents that want a version: of the own region, and of the region of the origin. */
+data class TransferMembers(val region: List<VmId>, val home: List<VmId>)
+
+/** What transfers of one agent share. */
+class TransferParts(
+    val self: VmId,
+    val library: PieceLibrary,
+    val links: PieceLinks,
+    val log: DecisionLog,
+    val tell: (PieceStatus, Collection<VmId>) -> Unit
+)
+
+/** The transfer of [key]; confined to the event loop. */
+class VersionTransfer(
+    val key: VersionKey,
+    private val parts: TransferParts,
+    private val origin: PieceOrigin,
+    private var members: TransferMembers,
+    private val onPiece: (Int) -> Unit
+) {
+    private var planner: ExchangePlanner? = null
+    private val earlyStatus = HashMap<VmId, PieceStatus>()
+    private val startMillis = monotonicMillis()
+    private var lastTellMillis = 0L
+
+    /** Pieces held, and all pieces; 0 to 0 before the manifest is known. */
+    val progress: Pair<Int, Int>
+        get() = (planner?.heldCount ?: 0) to (parts.library.manifest(key)?.digests?.size ?: 0)
+
+    /** Runs until all pieces are here. */
+    suspend fun run(scope: CoroutineScope) {
+        parts.log.event(EventCode.RELEASE_FETCH_STARTED) {
+            put("model", key.model.value)
+            put("version", key.version)
+            put("peers", members.region.size)
+        }
+        val manifest = awaitManifest()
+        parts.library.add(manifest)
+        begin(manifest)
+        while (!parts.library.isComplete(key)) {
+            plan(scope)
+            delay(PLAN_MILLIS)
+        }
+        tell()
+        parts.log.event(EventCode.RELEASE_COMPLETE) {
+            put("model", key.model.value)
+            put("version", key.version)
+            put("afterMillis", monotonicMillis() - startMillis)
+        }
+    }
+
+    private suspend fun awaitManifest(): PieceManifest {
+        var attempt = 0
+        while (true) {
+            parts.library.manifest(key)?.let { return it }
+            origin.manifest(key.model, key.version).onFailure {
+                parts.log.event(EventCode.OBJECT_API_UNAVAILABLE, isEssential = false) {
+                    put("what", "manifest")
+                    put("reason", it.message)
+                }
+            }.get()?.let { return it }
+            manifestOfPeer(attempt++)?.let { return it }
+            delay(MANIFEST_RETRY_MILLIS)
+        }
+    }
+
+    private suspend fun manifestOfPeer(attempt: Int): PieceManifest? {
+        val peers = (members.region + members.home).distinct().filter { it != parts.self }
+        if (peers.isEmpty()) return null
+        val query = PieceQuery(key.model, key.version, MANIFEST_INDEX)
+        val reply = parts.links.fetch(peers[attempt % peers.size], query) ?: return null
+        return Json.decodeFromString<PieceManifest>(reply.bytes.decodeToString())
+    }
+
+    private fun begin(manifest: PieceManifest) {
+        val release = ReleaseDigest("${key.model.value}/${key.version}")
+        val created = ExchangePlanner(release, parts.self, manifest.digests.size, LIMITS, startMillis)
+        created.addHeld(parts.library.held(key))
+        parts.library.held(key).forEach(onPiece)
+        applyMembers(created)
+        earlyStatus.forEach { (vm, status) -> apply(created, vm, status) }
+        planner = created
+    }
+
+    /** Adopts the agents that want the version. */
+    fun setMembers(changed: TransferMembers) {
+        members = changed
+        planner?.let(::applyMembers)
+    }
+
+    private fun applyMembers(target: ExchangePlanner) {
+        target.setMembers(members.region)
+        val isHome = members.home.isEmpty() || parts.self in members.home
+        target.setHome(if (isHome) emptyList() else members.home, directShare = 0.0)
+    }
+
+    /** Adopts what a peer of the region holds. */
+    fun onStatus(vm: VmId, status: PieceStatus) {
+        if (vm !in members.region) return
+        val current = planner
+        if (current == null) earlyStatus[vm] = status else apply(current, vm, status)
+    }
+
+    private fun apply(target: ExchangePlanner, vm: VmId, status: PieceStatus) {
+        target.onPeerBitmap(vm, status.bitmap, monotonicMillis())
+        target.onPeerChoked(vm, status.isChoked)
+    }
+
+    /** Notes that a piece was sent to another agent. */
+    fun onUploaded() {
+        planner?.onUploaded()
+    }
+
+    private fun plan(scope: CoroutineScope) {
+        val current = planner ?: return
+        val now = monotonicMillis()
+        current.plan(now).forEach { effect ->
+            if (effect is ExchangeEffect.Fetch) {
+                scope.launch { fetch(current, effect.index, effect.source) }
+            }
+        }
+        if (now - lastTellMillis >= TELL_MILLIS) tell()
+    }
+
+    private fun tell() {
+        val current = planner ?: return
+        lastTellMillis = monotonicMillis()
+        val status =
+            PieceStatus(parts.self, key.model, key.version, current.bitmap(), isChoked = false)
+        parts.tell(status, members.region)
+    }
+
+    private suspend fun fetch(current: ExchangePlanner, index: Int, source: ChunkSource) {
+        val bytes = when (source) {
+            is ChunkSource.Store ->
+                origin.piece(key.model, key.version, index).getOrElse { null }
+            is ChunkSource.Peer ->
+                parts.links.fetch(source.vm, PieceQuery(key.model, key.version, index))?.bytes
+        }
+        val now = monotonicMillis()
+        if (bytes != null && parts.library.put(key, index, bytes)) {
+            current.onVerified(index, now)
+            onPiece(index)
+            return
+        }
+        if (bytes != null) {
+            parts.log.event(EventCode.CHUNK_CORRUPT, isEssential = false) {
+                put("piece", index)
+                put("source", source.toString())
+            }
+        }
+        current.onFailed(index, corrupt = bytes != null, now)
+    }
+
+    private companion object {
+        const val MANIFEST_RETRY_MILLIS = 200L
+        const val PLAN_MILLIS = 15L
+        const val TELL_MILLIS = 100L
+
+        // A version has to be everywhere within seconds, so that a stalled import is taken over
+        // after one.
+        val LIMITS = ExchangeLimits(
+            neighbours = 12,
+            fetchesMax = 6,
+            fetchesPerPeerMax = 2,
+            importsMax = 4,
+            importTimeoutMillis = 1000,
+            fetchTimeoutMillis = 3000,
+            importFetchTimeoutMillis = 3000,
+            chokeMillis = 500
+        )
+    }
+}
+
+/** Index that asks for the manifest in place of a piece. */
+const val MANIFEST_INDEX = -1
+
+/** The reply to [query] from [library]; null while the piece is not here. */
+fun replyFrom(library: PieceLibrary, query: PieceQuery): PieceReply? {
+    val key = VersionKey(query.model, query.version)
+    val bytes = if (query.index == MANIFEST_INDEX) {
+        library.manifest(key)?.let { Json.encodeToString(it).encodeToByteArray() }
+    } else {
+        library.get(key, query.index)
+    }
+    return bytes?.let { PieceReply(query.model, query.version, query.index, it) }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/node/PlatformDaemon.kt
@@ -0,0 +1,79 @@
+/*
+ * The daemon in a platform deployment: reads its settings, starts its role and ends it on SIGTERM.
+ */
+package org.toucanspur.daemon.node
+
+import com.github.michaelbull.result.fold
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.put
+import org.toucanspur.core.config.checkNodeSettings
+import org.toucanspur.core.events.EventCode
+import org.toucanspur.daemon.engine.EngineAgent
+import org.toucanspur.daemon.gateway.GatewayEntry
+import org.toucanspur.daemon.log.DecisionLog
+import org.toucanspur.daemon.net.NetLoop
+import org.toucanspur.schema.NodeConfiguration
+import org.toucanspur.schema.NodeRole
+import sun.misc.Signal
+
+private const val EXIT_FAILED = 1
+private const val EXIT_USAGE = 2
+private const val FLUSH_MILLIS = 200L
+
+/** Runs the process whose settings are at [path] until it is told to end. */
+fun runPlatformDaemon(path: String) {
+    val settings = readNodeSettings(path) ?: exitProcess(EXIT_USAGE)
+    val log = DecisionLog(settings.node.vm)
+    val loop = NetLoop()
+    val ended = CountDownLatch(1)
+    val node: PlatformNode = when (settings.node.role) {
+        NodeRole.ENTRY -> GatewayEntry(settings, loop, log)
+        NodeRole.AGENT -> EngineAgent(settings, loop, log)
+    }
+    Signal.handle(Signal("TERM")) {
+        log.event(EventCode.STOPPING) { put("graceSeconds", settings.bounds.graceSeconds) }
+        runBlocking { node.shutdown() }
+        log.flush(FLUSH_MILLIS)
+        ended.countDown()
+    }
+    // The settings of a running process do not change what it has bound; a reload checks them, so
+    // that a fault shows before the next start.
+    Signal.handle(Signal("HUP")) {
+        readNodeSettings(path)?.let { log.event(EventCode.RELOADED) }
+    }
+    try {
+        node.start()
+    } catch (e: IOException) {
+        System.err.println("toucanspurd: listening failed (${e.message}); check section [addresses]")
+        exitProcess(EXIT_FAILED)
+    }
+    log.event(EventCode.STARTED) {
+        put("role", settings.node.role.name)
+        put("zone", settings.node.zone.value)
+        put("host", settings.node.host)
+    }
+    ended.await()
+    Runtime.getRuntime().halt(0)
+}
+
+// Prints what is wrong with the settings at [path] and returns null when they cannot be used.
+private fun readNodeSettings(path: String): NodeConfiguration? {
+    val text = try {
+        Files.readString(Path.of(path))
+    } catch (e: IOException) {
+        System.err.println("$path:1: file is not readable (${e.message}); check the path")
+        return null
+    }
+    return checkNodeSettings(path, text).fold(
+        success = { it },
+        failure = { findings ->
+            findings.forEach { System.err.println(it.render()) }
+            null
+        }
+    )
+}
--- a/schema/src/main/kotlin/org/toucanspur/schema/KeySpec.kt
+++ b/schema/src/main/kotlin/org/toucanspur/schema/KeySpec.kt
@@ -5,7 +5,7 @@
 package org.toucanspur.schema
 
 /** Kind of value that a key takes. */
-enum class KeyType { INT, STRING, NAME, NAMES, CHOICE, URL, SECRET, DIGEST, ROUTES }
+enum class KeyType { INT, DECIMAL, STRING, NAME, NAMES, CHOICE, URL, SECRET, DIGEST, ROUTES }
 
 /**
  * One key of a section.
--- a/schema/src/main/kotlin/org/toucanspur/schema/SectionValues.kt
+++ b/schema/src/main/kotlin/org/toucanspur/schema/SectionValues.kt
@@ -32,6 +32,9 @@
     /** Integer value of [key]. */
     fun int(key: String): Int = string(key).toInt()
 
+    /** Decimal value of [key]. */
+    fun decimal(key: String): Double = string(key).toDouble()
+
     /** Comma-separated values of [key]. */
     fun names(key: String): List<String> =
         string(key).split(',').map(String::trim).filter(String::isNotEmpty)
