--- a/core/src/main/kotlin/org/toucanspur/core/gateway/EngineModel.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/EngineModel.kt
@@ -27,12 +27,27 @@
     return writing + promptMillis(engine, engine.usualPromptTokens)
 }
 
-/** Time until the first event of a request that finds [occupancy] others at the engine. */
+/**
+ * Time until the first event of a request that finds [occupancy] others at the engine, by the last
+ * report. Others may have arrived since the report; close to the last slot each of them means a
+ * wait for a request to end.
+ */
 fun predictedFirstEventMillis(engine: EngineTiming, occupancy: Int, promptTokens: Int): Double {
     val running = minOf(occupancy, engine.slots)
     val pass = if (running == 0) 0.0 else engine.stepsPerPass * stepMillis(engine, running)
-    val ahead = maxOf(0, occupancy - engine.slots + 1)
     val firstEvent = engine.stepsPerPass * stepMillis(engine, running + 1)
-    return pass / 2 + promptMillis(engine, promptTokens) + firstEvent +
-        ahead * completionIntervalMillis(engine)
+    val ahead = maxOf(0.0, occupancy - engine.slots + 1 + UNSEEN_ARRIVALS)
+    return (pass / 2 + firstEvent) / (1 - readingShare(engine, running)) +
+        promptMillis(engine, promptTokens) + ahead * completionIntervalMillis(engine)
+}
+
+// Share of an engine's time that goes to reading prompts while it writes for [running] requests.
+private fun readingShare(engine: EngineTiming, running: Int): Double {
+    val reading = promptMillis(engine, engine.usualPromptTokens)
+    val fullShare = reading / maxOf(1.0, completionIntervalMillis(engine))
+    return minOf(READING_SHARE_MAX, fullShare * running / maxOf(1, engine.slots))
 }
+
+// At 12 requests a second and reports that are 50 to 100 ms old, with other entries sending too.
+private const val UNSEEN_ARRIVALS = 1.5
+private const val READING_SHARE_MAX = 0.8
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/WaitingCalls.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/WaitingCalls.kt
@@ -86,6 +86,10 @@
         return if (isOnTime) left * ON_TIME_SHARE else targetMillis * LATE_BUDGET_SHARE
     }
 
+    /** Urgency at the endpoint: requests that are late already let the others pass. */
+    fun urgency(isOnTime: Boolean, priority: Int): Int =
+        if (isOnTime) priority.coerceIn(0, ON_TIME_URGENCY_MAX) else LATE_URGENCY
+
     /** When a refused caller should come back, given the predicted wait for a place. */
     fun retryAfterMillis(predictedMillis: Double, random: Random): Long {
         val base = predictedMillis.coerceIn(RETRY_MIN_MILLIS, RETRY_MAX_MILLIS)
@@ -94,5 +98,9 @@
 
     // The prediction is off by about a quarter at the 95th percentile.
     private const val ON_TIME_SHARE = 0.8
-    private const val LATE_BUDGET_SHARE = 0.9
+
+    // A late request is sent where it holds up nobody who can still be on time.
+    private const val LATE_BUDGET_SHARE = 0.5
+    private const val ON_TIME_URGENCY_MAX = 8
+    private const val LATE_URGENCY = 9
 }
--- a/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
@@ -58,7 +58,7 @@
 /** The exchange of one release on one VM. Not safe for use by several threads. */
 class ExchangePlanner(
     release: ReleaseDigest,
-    self: VmId,
+    private val self: VmId,
     chunkCount: Int,
     private val limits: ExchangeLimits,
     startMillis: Long
@@ -100,8 +100,9 @@
     fun setMembers(vms: Collection<VmId>) = duties.setMembers(vms)
 
     /**
-     * Sets the VMs of the region nearest to the weight store, empty when this is that region, and
-     * the share of the chunks that this region imports from the weight store all the same.
+     * Sets the VMs that import from the weight store: those of the region nearest to it, empty when
+     * this is that region, or all VMs, so that each imports its part. [directShare] is the share of
+     * the chunks that this region imports from the weight store all the same.
      */
     fun setHome(vms: Collection<VmId>, directShare: Double) {
         duties.setHome(vms, directShare)
@@ -281,10 +282,11 @@
     private fun importSource(index: Int, stalls: Int): ChunkSource {
         val attempt = maxOf(remoteFailures[index], stalls)
         val importer = duties.homeImporter(index, attempt)
-        return if (importer == null || attempt >= REMOTE_ATTEMPTS_MAX) {
+        val isFromStore = importer == null || importer == self || attempt >= REMOTE_ATTEMPTS_MAX
+        return if (isFromStore) {
             ChunkSource.Store
         } else {
-            ChunkSource.Peer(importer, isRemote = true)
+            ChunkSource.Peer(checkNotNull(importer), isRemote = true)
         }
     }
 
--- a/core/src/main/kotlin/org/toucanspur/core/weights/LoadSchedule.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/LoadSchedule.kt
@@ -10,7 +10,7 @@
 import org.toucanspur.schema.VmId
 
 // The first part of the bound is for the transfer, the last one for the last load.
-private const val FIRST_LOAD_SHARE = 0.4
+private const val FIRST_LOAD_SHARE = 0.5
 private const val SPREAD_SHARE = 0.35
 
 /** Time of a load, in milliseconds after [namedMillis], among [members] that load the version. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -9,6 +9,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.net.InetSocketAddress
+import java.util.BitSet
 import kotlin.random.Random
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
@@ -70,6 +71,7 @@
         InetSocketAddress(settings.node.host, settings.addresses.peerPort),
         ::onFrame
     )
+    private val uploads = UploadPacer(settings.limits.linkMbit)
     private val reporter = LoadReporter(settings.node.vm, datagrams)
     private val parts = TransferParts(
         self,
@@ -219,6 +221,12 @@
         return loadTimeMillis(seen, bound, "${model.value}/$version", self, peers.keys)
     }
 
+    private fun isLoadPending(next: VersionKey): Boolean {
+        val loaded = report?.loadedVersions?.get(next.model) ?: 0
+        val ready = readyVersion(next.model, next.version) ?: return false
+        return ready in (loaded + 1) until next.version
+    }
+
     private suspend fun ensureTransfer(key: VersionKey) {
         val running = transfer
         if (running?.key == key) return
@@ -231,23 +239,18 @@
         val origin = configuration?.services?.values?.firstNotNullOfOrNull { it.origin } ?: return
         refreshPeers()
         val client = OriginClient(http, origin.address)
-        val home = origin.zone?.let(regions::get)
-        val started = VersionTransfer(key, parts, client, members(home)) {
+        val started = VersionTransfer(key, parts, client, members(), ::recover) {
             toStage.trySend(key to it)
         }
         transfer = started
         transferJob = loop.scope.launch {
-            launch { followPeers(started, home) }.let { following ->
-                recover(key, client)
-                started.run(this)
-                following.cancel()
-            }
+            val following = launch { followPeers(started) }
+            started.run(this)
+            following.cancel()
         }
     }
 
-    private suspend fun recover(key: VersionKey, origin: OriginClient) {
-        val manifest = origin.manifest(key.model, key.version).getOrElse { return }
-        library.add(manifest)
+    private suspend fun recover(key: VersionKey) {
         val count = loader.recover(key)
         if (count > 0) {
             log.event(EventCode.PIECES_RECOVERED) {
@@ -257,17 +260,17 @@
         }
     }
 
-    private suspend fun followPeers(target: VersionTransfer, home: RegionId?) {
+    private suspend fun followPeers(target: VersionTransfer) {
         while (true) {
             delay(PEERS_MILLIS)
             refreshPeers()
-            target.setMembers(members(home))
+            target.setMembers(members())
         }
     }
 
-    private fun members(home: RegionId?): TransferMembers = TransferMembers(
+    private fun members(): TransferMembers = TransferMembers(
         region = peers.filterValues { it == settings.node.region }.keys.toList(),
-        home = peers.filterValues { it == home }.keys.toList()
+        all = peers.keys.toList()
     )
 
     private suspend fun refreshPeers() {
@@ -279,7 +282,8 @@
 
     private suspend fun stageLoop() {
         for ((key, index) in toStage) {
-            if (transfer?.key == key) loader.stageAhead(key, index)
+            // While an older version waits for its load, staging would spoil its copy.
+            if (transfer?.key == key && !isLoadPending(key)) loader.stageAhead(key, index)
         }
     }
 
@@ -290,16 +294,28 @@
     private fun onFrame(frame: Frame, sender: InetSocketAddress) {
         when (frame) {
             is LoadQuery -> reporter.onQuery(sender)
-            is PieceStatus -> {
-                val current = transfer
-                val isSame = current != null &&
-                    current.key == VersionKey(frame.model, frame.version)
-                if (isSame) current?.onStatus(VmId(sender.address.hostAddress), frame)
-            }
+            is PieceStatus -> onStatus(frame, sender)
             else -> Unit
         }
     }
 
+    private fun onStatus(status: PieceStatus, sender: InetSocketAddress) {
+        val key = VersionKey(status.model, status.version)
+        val current = transfer?.takeIf { it.key == key }
+        current?.onStatus(VmId(sender.address.hostAddress), status)
+        // A neighbour that is still fetching learns what is here; others need no answer.
+        val isFetching = library.manifest(key)?.let { manifest ->
+            BitSet.valueOf(status.bitmap).cardinality() < manifest.digests.size
+        } ?: false
+        if (isFetching && library.isComplete(key)) {
+            val own = BitSet().apply { library.held(key).forEach(::set) }.toByteArray()
+            datagrams.send(
+                PieceStatus(self, key.model, key.version, own, isChoked = false),
+                sender
+            )
+        }
+    }
+
     // A peer may ask for a piece that is on its way here; it gets it as soon as it is.
     private fun onQuery(query: PieceQuery, reply: (PieceReply) -> Unit) {
         loop.scope.launch {
@@ -310,6 +326,7 @@
                 found = replyFrom(library, query)
             }
             val none = PieceReply(query.model, query.version, query.index, ByteArray(0))
+            if (found != null) uploads.pass(found.bytes.size)
             reply(found ?: none)
             if (found != null) transfer?.onUploaded()
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
@@ -6,6 +6,8 @@
 
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.weights.EngineControl
@@ -23,14 +25,18 @@
     private var stagedKey: VersionKey? = null
     private val staged = HashSet<Int>()
 
+    // There is one staged copy for each model: a piece of another version that is staged between
+    // the check and the order would be loaded with the rest.
+    private val stagedCopy = Mutex()
+
     /** Stages one piece ahead of the order; a failure is made up for by the check before it. */
-    suspend fun stageAhead(key: VersionKey, index: Int) {
+    suspend fun stageAhead(key: VersionKey, index: Int) = stagedCopy.withLock {
         if (stagedKey != key) {
             stagedKey = key
             staged.clear()
         }
-        if (index in staged) return
-        val bytes = library.get(key, index) ?: return
+        if (index in staged) return@withLock
+        val bytes = library.get(key, index) ?: return@withLock
         engine.stage(key.model, index, bytes).fold({ staged += index }, {})
     }
 
@@ -41,7 +47,10 @@
     }
 
     /** Checks the staged copy, mends it and gives the order; returns whether a load has begun. */
-    suspend fun load(key: VersionKey, report: EngineReport): Boolean {
+    suspend fun load(key: VersionKey, report: EngineReport): Boolean =
+        stagedCopy.withLock { checkAndOrder(key, report) }
+
+    private suspend fun checkAndOrder(key: VersionKey, report: EngineReport): Boolean {
         val pieces = library.manifest(key)?.digests?.size ?: return false
         for (index in 0 until pieces) {
             if (!ensureStaged(key, index)) return false
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
@@ -27,8 +27,8 @@
 import org.toucanspur.schema.ReleaseDigest
 import org.toucanspur.schema.VmId
 
-/** Agents that want a version: of the own region, and of the region of the origin. */
-data class TransferMembers(val region: List<VmId>, val home: List<VmId>)
+/** Agents that want a version: those of the own region, and all. */
+data class TransferMembers(val region: List<VmId>, val all: List<VmId>)
 
 /** What transfers of one agent share. */
 class TransferParts(
@@ -45,6 +45,7 @@
     private val parts: TransferParts,
     private val origin: PieceOrigin,
     private var members: TransferMembers,
+    private val recover: suspend (VersionKey) -> Unit,
     private val onPiece: (Int) -> Unit
 ) {
     private var planner: ExchangePlanner? = null
@@ -65,7 +66,10 @@
         }
         val manifest = awaitManifest()
         parts.library.add(manifest)
+        recover(key)
         begin(manifest)
+        tell()
+        delay(FIRST_STATUS_MILLIS)
         while (!parts.library.isComplete(key)) {
             plan(scope)
             delay(PLAN_MILLIS)
@@ -94,7 +98,7 @@
     }
 
     private suspend fun manifestOfPeer(attempt: Int): PieceManifest? {
-        val peers = (members.region + members.home).distinct().filter { it != parts.self }
+        val peers = members.all.filter { it != parts.self }
         if (peers.isEmpty()) return null
         val query = PieceQuery(key.model, key.version, MANIFEST_INDEX)
         val reply = parts.links.fetch(peers[attempt % peers.size], query) ?: return null
@@ -119,8 +123,9 @@
 
     private fun applyMembers(target: ExchangePlanner) {
         target.setMembers(members.region)
-        val isHome = members.home.isEmpty() || parts.self in members.home
-        target.setHome(if (isHome) emptyList() else members.home, directShare = 0.0)
+        // Each agent imports its part from the origin, and regions import the rest from each
+        // other: a single region's links would have to carry all copies for the others.
+        target.setHome(members.all, directShare = 0.0)
     }
 
     /** Adopts what a peer of the region holds. */
@@ -145,18 +150,20 @@
         val now = monotonicMillis()
         current.plan(now).forEach { effect ->
             if (effect is ExchangeEffect.Fetch) {
-                scope.launch { fetch(current, effect.index, effect.source) }
+                scope.launch { fetchAndPlan(scope, current, effect) }
             }
         }
         if (now - lastTellMillis >= TELL_MILLIS) tell()
     }
 
     private fun tell() {
-        val current = planner ?: return
         lastTellMillis = monotonicMillis()
-        val status =
-            PieceStatus(parts.self, key.model, key.version, current.bitmap(), isChoked = false)
-        parts.tell(status, members.region)
+        status()?.let { parts.tell(it, members.region) }
+    }
+
+    private fun status(): PieceStatus? {
+        val current = planner ?: return null
+        return PieceStatus(parts.self, key.model, key.version, current.bitmap(), isChoked = false)
     }
 
     private suspend fun fetch(current: ExchangePlanner, index: Int, source: ChunkSource) {
@@ -181,18 +188,31 @@
         current.onFailed(index, corrupt = bytes != null, now)
     }
 
+    private suspend fun fetchAndPlan(
+        scope: CoroutineScope,
+        current: ExchangePlanner,
+        fetch: ExchangeEffect.Fetch
+    ) {
+        fetch(current, fetch.index, fetch.source)
+        plan(scope)
+    }
+
     private companion object {
         const val MANIFEST_RETRY_MILLIS = 200L
         const val PLAN_MILLIS = 15L
         const val TELL_MILLIS = 100L
 
+        // Neighbours that hold the version say so at once; asking the origin would be a waste.
+        const val FIRST_STATUS_MILLIS = 120L
+
         // A version has to be everywhere within seconds, so that a stalled import is taken over
         // after one.
         val LIMITS = ExchangeLimits(
             neighbours = 12,
-            fetchesMax = 6,
-            fetchesPerPeerMax = 2,
-            importsMax = 4,
+            // Pieces on their way to a VM queue before the requests to its endpoint.
+            fetchesMax = 2,
+            fetchesPerPeerMax = 1,
+            importsMax = 2,
             importTimeoutMillis = 1000,
             fetchTimeoutMillis = 3000,
             importFetchTimeoutMillis = 3000,
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -204,7 +204,10 @@
             endpoint = endpoint.record.id,
             remainingMillis = maxOf(1, call.deadlineMillis - now),
             organisation = call.organisation?.id,
-            urgency = null,
+            urgency = WaitPolicy.urgency(
+                call.isOnTime || call.isCommitted,
+                call.organisation?.priority ?: call.route.priority
+            ),
             expectedVersion = versionMin.takeIf { it > 0 },
             lastEventId = if (isResumed) call.lastEventId else call.facts.lastEventId
         )
@@ -223,6 +226,7 @@
             put("endpoint", endpoint.record.id.value)
             put("waitedMillis", now - call.request.receivedMillis)
             put("predictedMillis", placement.firstByteMillis.toLong())
+            put("isOnTime", call.isOnTime)
             put("occupancy", endpoint.occupancy(now, state.entries(now)))
             put("reportAgeMillis", endpoint.reportAgeMillis(now))
             put("configuration", state.configuration?.version ?: 0)
