Fetch from the origin apart from waits for other regions; keep the engine's connection

Agents made 10 connections a second to their engines. An entry that starts took a version for just named (VERSION 288 after a kill of all). Change: store fetches have a limit of their own (one), waits for other regions do not count; progress is logged; calls that may be sent twice share a connection; a version of unknown age is due as soon as an endpoint has it. The engine's 503 before it has weights is refused unrun.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -35,6 +35,7 @@
     CHUNK_MEMORY_FULL(404, "release does not fit the chunk memory"),
     PIECES_RECOVERED(405, "pieces taken over from the staged copy"),
     STAGED_PIECE_SPOILT(406, "staged piece was spoilt and staged again"),
+    TRANSFER_PROGRESS(407, "transfer of a release goes on"),
     LEASE_ACQUIRED(410, "endpoint lease acquired"),
     LEASE_LOST(411, "endpoint lease lost"),
     LOAD_ORDERED(412, "engine ordered to load a release"),
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -11,29 +11,49 @@
 class VersionGate(private val boundMillis: Long) {
     private val named = HashMap<ModelId, ArrayDeque<Named>>()
 
-    /** Notes that [version] of [model] is named, as seen at [nowMillis]. */
-    fun onNamed(model: ModelId, version: Long, nowMillis: Long) {
+    /**
+     * Notes that [version] of [model] is named, as seen at [nowMillis]. When the age of that name
+     * is not known, as after a start, the bound may be over as soon as some endpoint has it.
+     */
+    fun onNamed(
+        model: ModelId,
+        version: Long,
+        nowMillis: Long,
+        isAgeKnown: Boolean = true
+    ) {
         val versions = named.getOrPut(model) { ArrayDeque() }
         if (versions.isNotEmpty() && versions.last().version >= version) return
-        versions.addLast(Named(version, nowMillis))
+        versions.addLast(Named(version, nowMillis, isAgeKnown))
         while (versions.size > KEPT_MAX) versions.removeFirst()
     }
 
     /** The newest named version of [model], or 0. */
     fun newest(model: ModelId): Long = named[model]?.lastOrNull()?.version ?: 0
 
-    /** Lowest version that a request for [model] may begin on at [nowMillis]; 0 for any. */
-    fun versionMin(model: ModelId?, nowMillis: Long): Long {
+    /**
+     * Lowest version that a request for [model] may begin on at [nowMillis], where the endpoints
+     * have versions up to [loadedMax]; 0 for any.
+     */
+    fun versionMin(model: ModelId?, nowMillis: Long, loadedMax: Long): Long {
         if (boundMillis <= 0 || model == null) return 0
-        val due = named[model]?.lastOrNull { nowMillis - it.seenMillis >= boundMillis - MARGIN_MILLIS }
-        return due?.version ?: 0
+        return named[model]?.lastOrNull { isDue(it, nowMillis, loadedMax) }?.version ?: 0
     }
 
-    private class Named(val version: Long, val seenMillis: Long)
+    private fun isDue(version: Named, nowMillis: Long, loadedMax: Long): Boolean {
+        val ageMillis = nowMillis - version.seenMillis
+        val isLikelyOld = !version.isAgeKnown && loadedMax >= version.version
+        return ageMillis >= boundMillis - MARGIN_MILLIS ||
+            (isLikelyOld && ageMillis >= START_MILLIS)
+    }
+
+    private class Named(val version: Long, val seenMillis: Long, val isAgeKnown: Boolean)
 
     private companion object {
         // News of the version, and the wait of a request in an endpoint's queue.
         const val MARGIN_MILLIS = 1200L
+
+        // An entry that has just started is still given a moment for endpoints to report.
+        const val START_MILLIS = 1500L
         const val KEPT_MAX = 8
     }
 }
--- a/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
@@ -6,14 +6,19 @@
 
 import com.github.michaelbull.result.Result
 
-/** A call to [address] (HOST:PORT); [target] is the path with its query. */
+/**
+ * A call to [address] (HOST:PORT); [target] is the path with its query. A call that
+ * [mayReuseConnection] has no harm from being sent twice, as happens when the connection turns out
+ * to be closed at the other end.
+ */
 class HttpCall(
     val address: String,
     val method: String,
     val target: String,
     val timeoutMillis: Long,
     val body: ByteArray? = null,
-    val contentType: String? = null
+    val contentType: String? = null,
+    val mayReuseConnection: Boolean = false
 )
 
 /** An answer with its whole body. */
--- a/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
@@ -23,6 +23,7 @@
     val fetchesMax: Int = 8,
     val fetchesPerPeerMax: Int = 2,
     val importsMax: Int = 4,
+    val storeFetchesMax: Int = importsMax,
     val importTimeoutMillis: Long = 4000,
     val fetchTimeoutMillis: Long = 10_000,
     val importFetchTimeoutMillis: Long = 20_000,
@@ -76,6 +77,7 @@
     private var uploads = 0
     private var isChoked = false
     private var imports = 0
+    private var storeFetches = 0
     private var exchanges = 0
     private val pace = ProgressPace(startMillis, limits.importTimeoutMillis)
     private var lastExpiryMillis = startMillis
@@ -225,6 +227,7 @@
         fetches[index] = null
         refreshWanted(index)
         val source = fetch.source
+        if (source is ChunkSource.Store) storeFetches--
         if (isImport(source)) {
             imports--
         } else if (source is ChunkSource.Peer) {
@@ -274,8 +277,13 @@
             if (imports >= limits.importsMax || duties.rankOf(index) > rankLimit) return
             val isDue = duties.turnOf(index) < turnLimit
             if (!isDue || !isMissing(index) || inRegion.get(index)) continue
+            val source = importSource(index, rankLimit)
+            // Imports from other regions wait for their importers; the weight store must not wait
+            // with them.
+            if (source is ChunkSource.Store && storeFetches >= limits.storeFetchesMax) continue
+            if (source is ChunkSource.Store) storeFetches++
             imports++
-            start(index, importSource(index, rankLimit), nowMillis, effects)
+            start(index, source, nowMillis, effects)
         }
     }
 
--- /dev/null
+++ b/core/src/test/kotlin/org/toucanspur/core/weights/LoadScheduleTest.kt
@@ -0,0 +1,33 @@
+package org.toucanspur.core.weights
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.toucanspur.schema.VmId
+
+class LoadScheduleTest :
+    DescribeSpec({
+        val vms = List(10) { VmId("10.0.0.$it") }
+        describe("the loads of a version") {
+            it("are spread evenly and begin within the bound") {
+                val times = vms.map { loadTimeMillis(1000, 8000, "m/2", it, vms) }.sorted()
+                times.zipWithNext { a, b -> b - a }.toSet() shouldBe setOf(280L)
+                times.last() shouldBeLessThan 9000L
+            }
+            it("come in another order for another version") {
+                val second = vms.sortedBy { loadTimeMillis(0, 8000, "m/2", it, vms) }
+                val third = vms.sortedBy { loadTimeMillis(0, 8000, "m/3", it, vms) }
+                (second == third) shouldBe false
+            }
+            it("are not delayed without a bound") {
+                loadTimeMillis(1000, 0, "m/2", vms[0], vms) shouldBe 1000
+            }
+        }
+        describe("a transfer when a newer version is named") {
+            it("goes on only when half of it is done") {
+                finishesFirst(48, 96) shouldBe true
+                finishesFirst(47, 96) shouldBe false
+                finishesFirst(0, 0) shouldBe false
+            }
+        }
+    })
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/RequestService.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/RequestService.kt
@@ -56,6 +56,7 @@
 // An engine notices that a call was broken off some time later, and bears it until then.
 private const val CANCEL_GRACE_MILLIS = 100L
 private const val RETRY_AFTER_MILLIS = 1000L
+private const val UNAVAILABLE = 503
 
 /** What the service needs to know of its surroundings. */
 interface RequestSurroundings {
@@ -75,6 +76,9 @@
     suspend fun onFinished(submit: Submit)
 }
 
+/** The engine turned a request away before it ran. */
+private class EngineUnavailableException(message: String) : IOException(message)
+
 /** The requests of one agent. */
 class RequestService(
     private val scope: CoroutineScope,
@@ -245,6 +249,8 @@
             val isWhole = produce(request, recorded, firstByte)
             finish(request, recorded, isWhole)
             release(request, firstByte.millisSince(startMillis).takeIf { isWhole })
+        } catch (e: EngineUnavailableException) {
+            onUnavailable(request, e)
         } catch (e: IOException) {
             onFailure(request, e)
         } catch (e: CancellationException) {
@@ -263,6 +269,10 @@
     ): Boolean {
         while (true) {
             val answer = endpoint.open(callOf(request))
+            if (isEngineUnavailable(request, answer)) {
+                answer.body.cancel()
+                throw EngineUnavailableException("engine answered ${answer.head.status}")
+            }
             if (request.buffer.head == null) request.buffer.putHead(answer.head)
             val isEnded = copyUntilStalled(request, answer.body, recorded, firstByte)
             if (isEnded) return true
@@ -271,6 +281,28 @@
         }
     }
 
+    // An engine that has restarted holds no weights until it has loaded them again, and says so
+    // before it runs anything.
+    private fun isEngineUnavailable(request: ActiveRequest, answer: EndpointAnswer): Boolean =
+        answer.head.status == UNAVAILABLE && request.buffer.head == null &&
+            surroundings.canResume && !request.isAtMostOnce
+
+    private suspend fun onUnavailable(
+        request: ActiveRequest,
+        cause: EngineUnavailableException
+    ) {
+        val id = request.submit.requestId
+        refused.increment()
+        surroundings.onEndpointFailure(emptyList())
+        release(request, null)
+        val detail = "the endpoint has no weights loaded; the request did not run"
+        request.refusal = Refused(id, Ran.NO, "unavailable", detail, RETRY_AFTER_MILLIS)
+        request.buffer.signal()
+        events.event(EventCode.REQUEST_REFUSED, EventSubject(requestId = id)) {
+            "$detail (${cause.message})"
+        }
+    }
+
     /** Copies until the end (true) or until the reader has stalled for too long (false). */
     private suspend fun copyUntilStalled(
         request: ActiveRequest,
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -139,10 +139,11 @@
         )
     }
 
-    private fun onNamed(version: NamedVersion) {
+    private fun onNamed(version: NamedVersion, isAgeKnown: Boolean) {
         val versions = named.getOrPut(version.model) { ArrayDeque() }
         if (versions.isNotEmpty() && versions.last().first >= version.version) return
-        versions.addLast(version.version to monotonicMillis())
+        val ageMillis = if (isAgeKnown) 0 else settings.bounds.versionMillis.toLong()
+        versions.addLast(version.version to monotonicMillis() - ageMillis)
     }
 
     private fun newest(model: ModelId): Pair<Long, Long> =
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
@@ -52,6 +52,8 @@
     private val earlyStatus = HashMap<VmId, PieceStatus>()
     private val startMillis = monotonicMillis()
     private var lastTellMillis = 0L
+    private var lastLogMillis = startMillis
+    private val failures = HashMap<String, Int>()
 
     /** Pieces held, and all pieces; 0 to 0 before the manifest is known. */
     val progress: Pair<Int, Int>
@@ -154,6 +156,7 @@
             }
         }
         if (now - lastTellMillis >= TELL_MILLIS) tell()
+        if (now - lastLogMillis >= LOG_MILLIS) logProgress(now)
     }
 
     private fun tell() {
@@ -161,6 +164,18 @@
         status()?.let { parts.tell(it, members.region) }
     }
 
+    private fun logProgress(nowMillis: Long) {
+        lastLogMillis = nowMillis
+        parts.log.event(EventCode.TRANSFER_PROGRESS) {
+            put("version", key.version)
+            put("held", progress.first)
+            put("total", progress.second)
+            put("peers", members.all.size)
+            put("failures", failures.toString())
+        }
+        failures.clear()
+    }
+
     private fun status(): PieceStatus? {
         val current = planner ?: return null
         return PieceStatus(parts.self, key.model, key.version, current.bitmap(), isChoked = false)
@@ -179,10 +194,12 @@
             onPiece(index)
             return
         }
+        val sourceName = if (source is ChunkSource.Peer) source.vm.value else "origin"
+        failures.merge(sourceName, 1, Int::plus)
         if (bytes != null) {
             parts.log.event(EventCode.CHUNK_CORRUPT, isEssential = false) {
                 put("piece", index)
-                put("source", source.toString())
+                put("source", sourceName)
             }
         }
         current.onFailed(index, corrupt = bytes != null, now)
@@ -201,6 +218,7 @@
         const val MANIFEST_RETRY_MILLIS = 200L
         const val PLAN_MILLIS = 15L
         const val TELL_MILLIS = 100L
+        const val LOG_MILLIS = 1000L
 
         // Neighbours that hold the version say so at once; asking the origin would be a waste.
         const val FIRST_STATUS_MILLIS = 120L
@@ -210,9 +228,12 @@
         val LIMITS = ExchangeLimits(
             neighbours = 12,
             // Pieces on their way to a VM queue before the requests to its endpoint.
-            fetchesMax = 2,
-            fetchesPerPeerMax = 1,
-            importsMax = 2,
+            fetchesMax = 4,
+            fetchesPerPeerMax = 2,
+            // Most of these wait for another region's importer.
+            importsMax = 10,
+            // The origin takes 48 connections from all agents.
+            storeFetchesMax = 1,
             importTimeoutMillis = 1000,
             fetchTimeoutMillis = 3000,
             importFetchTimeoutMillis = 3000,
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -179,11 +179,17 @@
             regions = homes(call),
             zonesOut = state.zonesOut,
             tried = call.tried,
-            versionMin = state.versions.versionMin(call.facts.model, nowMillis)
+            versionMin = versionMin(call, nowMillis)
         )
         return state.placer.place(query, budget, nowMillis, state.entries(nowMillis))
     }
 
+    private fun versionMin(call: Call, nowMillis: Long): Long {
+        val loadedMax =
+            state.fleet.of(call.service.id).maxOfOrNull { it.loadedVersion(nowMillis) ?: 0 } ?: 0
+        return state.versions.versionMin(call.facts.model, nowMillis, loadedMax)
+    }
+
     private fun homes(call: Call): Set<RegionId>? {
         val own = call.organisation?.homeRegions.orEmpty()
         val routes = call.route.homeRegions
@@ -198,7 +204,7 @@
     private fun send(call: Call, placement: Placement.Send) {
         val now = monotonicMillis()
         val endpoint = placement.endpoint
-        val versionMin = state.versions.versionMin(call.facts.model, now)
+        val versionMin = versionMin(call, now)
         val isResumed = call.isResumable && call.isCommitted
         val facts = EndpointCallFacts(
             endpoint = endpoint.record.id,
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -78,8 +78,8 @@
             reports.ask()
             dispatcher.onLoadChanged()
         }
-        val versions = VersionSink(log) {
-            state.versions.onNamed(it.model, it.version, monotonicMillis())
+        val versions = VersionSink(log) { named, isAgeKnown ->
+            state.versions.onNamed(named.model, named.version, monotonicMillis(), isAgeKnown)
         }
         longWaits += follow(ObjectKind.ENDPOINTS, WAIT_MILLIS, endpoints)
         longWaits += follow(ObjectKind.EVACUATIONS, WAIT_MILLIS, EvacuationSink(state, log))
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/StoreSinks.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/StoreSinks.kt
@@ -161,19 +161,22 @@
 }
 
 /** Keeps the weight versions that the operator names. */
-class VersionSink(log: DecisionLog, private val onNamed: (NamedVersion) -> Unit) :
+class VersionSink(log: DecisionLog, private val onNamed: (NamedVersion, Boolean) -> Unit) :
     LoggingSink(ObjectKind.WEIGHT_VERSIONS, log) {
-    override fun onListing(objects: List<StoredObject>) = objects.forEach(::adopt)
+    override fun onListing(objects: List<StoredObject>) =
+        objects.forEach { adopt(it, isAgeKnown = false) }
 
     override fun onChanges(changes: List<ObjectChange>) =
-        changes.filterNot { it.isRemoved }.forEach { adopt(it.stored) }
+        changes.filterNot { it.isRemoved }.forEach { adopt(it.stored, isAgeKnown = true) }
 
-    private fun adopt(stored: StoredObject) {
+    // A version that a listing shows may have been named long before.
+    private fun adopt(stored: StoredObject, isAgeKnown: Boolean) {
         val named = decodeNamedVersion(stored) ?: return
         log.event(EventCode.VERSION_NAMED) {
             put("model", named.model.value)
             put("version", named.version)
+            put("isAgeKnown", isAgeKnown)
         }
-        onNamed(named)
+        onNamed(named, isAgeKnown)
     }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpCaller.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpCaller.kt
@@ -1,6 +1,7 @@
 /*
- * HTTP calls on the event loop, each on a connection of its own: a connection that has gone silent
- * then costs one call its time-out and no later one.
+ * HTTP calls on the event loop. A call has a connection of its own, so that one that has gone
+ * silent costs one call its time-out and no later one; calls that may be sent twice share one kept
+ * connection for each address, which is replaced after any failure.
  */
 package org.toucanspur.daemon.net
 
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import kotlin.coroutines.resume
 import kotlinx.coroutines.CancellableContinuation
@@ -34,10 +36,18 @@
 // A packet that is lost while connecting is sent again after a second.
 private const val CONNECT_TIMEOUT_MILLIS = 1000L
 
-/** Makes calls on [loop]. */
+/** Makes calls on [loop]; confined to it. */
 class NettyHttpCaller(private val loop: NetLoop) : HttpCaller {
-    override suspend fun call(call: HttpCall): Result<HttpReply, HttpFailure> =
-        suspendCancellableCoroutine { continuation -> PendingCall(call, continuation).start() }
+    private val kept = HashMap<String, Channel>()
+
+    override suspend fun call(call: HttpCall): Result<HttpReply, HttpFailure> {
+        val channel = if (call.mayReuseConnection) kept.remove(call.address) else null
+        if (channel != null && channel.isActive) {
+            val result = suspendCancellableCoroutine { PendingCall(call, it).reuse(channel) }
+            if (result.isOk) return result
+        }
+        return suspendCancellableCoroutine { PendingCall(call, it).start() }
+    }
 
     private inner class PendingCall(
         private val call: HttpCall,
@@ -48,6 +58,10 @@
         private var isDone = false
         private val timeout = loop.schedule(call.timeoutMillis) { fail("timed out") }
 
+        init {
+            continuation.invokeOnCancellation { loop.executor.execute { finish(null) } }
+        }
+
         fun start() {
             val connectMillis = minOf(call.timeoutMillis, CONNECT_TIMEOUT_MILLIS).toInt()
             val future = loop.connect(socketAddress(call.address), connectMillis) {
@@ -59,7 +73,12 @@
             }
             channel = future.channel()
             future.addListener { if (it.isSuccess) send() else fail(it.cause().toString()) }
-            continuation.invokeOnCancellation { loop.executor.execute { finish(null) } }
+        }
+
+        fun reuse(open: Channel) {
+            channel = open
+            open.pipeline().replace(ReplyHandler::class.java, null, ReplyHandler())
+            send()
         }
 
         private fun send() {
@@ -71,11 +90,13 @@
             val method = HttpMethod.valueOf(call.method)
             val request =
                 DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, call.target, content)
-            request.headers()
-                .set(HttpHeaderNames.HOST, call.address)
-                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            request.headers().set(HttpHeaderNames.HOST, call.address)
+            if (!call.mayReuseConnection) {
+                request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            }
             if (call.body != null) {
-                request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+                val length = content.readableBytes()
+                request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length)
                 call.contentType?.let { request.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
             }
             isSent = true
@@ -88,30 +109,45 @@
             )
         )
 
-        fun finish(result: Result<HttpReply, HttpFailure>?) {
+        fun finish(result: Result<HttpReply, HttpFailure>?, isKept: Boolean = false) {
             if (isDone) return
             isDone = true
             timeout.cancel(false)
-            channel?.close()
+            val open = channel
+            if (isKept && open != null) keep(open) else open?.close()
             if (result != null && continuation.isActive) continuation.resume(result)
         }
 
+        private fun keep(open: Channel) {
+            kept.put(call.address, open)?.close()
+        }
+
         private inner class ReplyHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
             override fun channelRead0(context: ChannelHandlerContext, reply: FullHttpResponse) {
+                if (isDone) {
+                    // Bytes that answer no request; the connection is of no further use.
+                    context.close()
+                    return
+                }
                 if (reply.decoderResult().isFailure) {
                     fail("malformed answer: ${reply.decoderResult().cause()}")
                     return
                 }
                 val body = ByteBufUtil.getBytes(reply.content())
-                finish(Ok(HttpReply(reply.status().code(), body)))
+                val isKept = call.mayReuseConnection && HttpUtil.isKeepAlive(reply)
+                finish(Ok(HttpReply(reply.status().code(), body)), isKept)
             }
 
-            override fun channelInactive(context: ChannelHandlerContext) =
+            override fun channelInactive(context: ChannelHandlerContext) {
+                kept.remove(call.address, context.channel())
                 fail("connection closed")
+            }
 
             @Deprecated("Deprecated in Java")
-            override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) =
+            override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+                context.close()
                 fail(cause.toString())
+            }
         }
     }
 }
