--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -61,7 +61,7 @@
         const val MARGIN_MILLIS = 1200L
 
         // Time for endpoints to report to an entry that has just started.
-        const val FOUND_MILLIS = 1500L
+        const val FOUND_MILLIS = 500L
         const val KEPT_MAX = 8
     }
 }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
@@ -24,15 +24,15 @@
             it("is needed soon, also when no endpoint has it yet") {
                 val gate = VersionGate(boundMillis = 8000)
                 gate.onNamed(model, 2, 0, NameAge.FOUND_AT_START)
-                gate.versionMin(model, 1499, loadedMax = 1) shouldBe 0
-                gate.versionMin(model, 1500, loadedMax = 1) shouldBe 2
+                gate.versionMin(model, 499, loadedMax = 1) shouldBe 0
+                gate.versionMin(model, 500, loadedMax = 1) shouldBe 2
             }
         }
         describe("a version that is found named after an outage of the store") {
             val gate = VersionGate(boundMillis = 8000)
             gate.onNamed(model, 2, 0, NameAge.FOUND_AFTER_OUTAGE)
             it("is needed soon when an endpoint has it") {
-                gate.versionMin(model, 1500, loadedMax = 2) shouldBe 2
+                gate.versionMin(model, 500, loadedMax = 2) shouldBe 2
             }
             it("has its bound while no endpoint has it") {
                 gate.versionMin(model, 6799, loadedMax = 1) shouldBe 0
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -214,7 +214,8 @@
         pushReport()
         delay(PAUSE_MILLIS)
         val fresh = engine.report().get()
-        isLoading = fresh != null && !fresh.isBusy &&
+        isLoading = fresh != null &&
+            !fresh.isBusy &&
             loader.load(VersionKey(model, ready), fresh, runningRequests())
     }
 
