--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -40,6 +40,7 @@
 import org.toucanspur.daemon.net.NetLoop
 import org.toucanspur.daemon.net.NettyHttpCaller
 import org.toucanspur.daemon.node.PlatformNode
+import org.toucanspur.daemon.node.zoneRegions
 import org.toucanspur.platform.EngineClient
 import org.toucanspur.platform.NamedVersion
 import org.toucanspur.platform.OriginClient
@@ -55,7 +56,6 @@
 import org.toucanspur.schema.PieceStatus
 import org.toucanspur.schema.RegionId
 import org.toucanspur.schema.VmId
-import org.toucanspur.schema.ZoneId
 
 /** One agent; confined to the event loop. */
 class EngineAgent(
@@ -84,9 +84,7 @@
         log,
         ::tell
     )
-    private val regions: Map<ZoneId, RegionId> = settings.node.zoneRegions.split(',')
-        .filter { ':' in it }
-        .associate { ZoneId(it.substringBefore(':')) to RegionId(it.substringAfter(':')) }
+    private val regions = zoneRegions(settings)
 
     private var configuration: TrafficConfiguration? = null
     private var peers: Map<VmId, RegionId?> = emptyMap()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -4,24 +4,22 @@
  */
 package org.toucanspur.daemon.gateway
 
-import io.netty.handler.codec.http.HttpHeaderNames
 import java.net.InetSocketAddress
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
-import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallerFacts
 import org.toucanspur.core.gateway.EndpointCallFacts
 import org.toucanspur.core.gateway.EndpointSign
 import org.toucanspur.core.gateway.FleetEndpoint
-import org.toucanspur.core.gateway.Organisation
 import org.toucanspur.core.gateway.Placement
 import org.toucanspur.core.gateway.PlacementQuery
 import org.toucanspur.core.gateway.RequestCodec
-import org.toucanspur.core.gateway.TrafficConfiguration
-import org.toucanspur.core.gateway.TrafficRoute
-import org.toucanspur.core.gateway.TrafficService
+import org.toucanspur.core.gateway.Resend
+import org.toucanspur.core.gateway.SendHistory
 import org.toucanspur.core.gateway.WaitPolicy
 import org.toucanspur.core.gateway.WaitingCalls
+import org.toucanspur.core.gateway.resendAfterFailure
+import org.toucanspur.core.gateway.stallMillis
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NetLoop
@@ -36,6 +34,7 @@
     private val log: DecisionLog,
     private val metrics: GatewayMetrics
 ) : CallHost {
+    private val admission = CallAdmission(state)
     private val waiting = WaitingCalls<Call>(WAITING_MAX)
     private val active = LinkedHashSet<Call>()
     private val longestRemaining = HashMap<String, Long>()
@@ -50,69 +49,20 @@
     /** Takes a request that was read whole. Returns its call, or null when it is over already. */
     fun onRequest(connection: CallerConnection, request: ReadRequest): Call? {
         val facts = codec.decode { request.head.headers().get(it) }
-        val configuration = state.configuration
-        if (configuration == null) {
-            val rejection = Rejection(UNAVAILABLE, "no configuration yet", START_RETRY_MILLIS)
-            answer(connection, facts, rejection)
-            return null
-        }
-        return when (val admitted = admit(configuration, request, facts)) {
-            is Rejected -> {
+        return when (val admitted = admission.admit(request, facts)) {
+            is Admission.Rejected -> {
                 answer(connection, facts, admitted.rejection)
                 null
             }
-            is Admitted -> start(connection, request, facts, admitted)
-        }
-    }
-
-    private sealed interface Admission
-    private class Rejected(val rejection: Rejection) : Admission
-    private class Admitted(
-        val route: TrafficRoute,
-        val service: TrafficService,
-        val organisation: Organisation?
-    ) : Admission
-
-    private fun admit(
-        configuration: TrafficConfiguration,
-        request: ReadRequest,
-        facts: CallerFacts
-    ): Admission {
-        val host = request.head.headers().get(HttpHeaderNames.HOST).orEmpty()
-        val route = configuration.route(host, request.head.uri())
-            ?: return Rejected(Rejection(NOT_FOUND, "no route"))
-        val organisation = facts.key?.let(configuration::organisationOf)
-        val needsKey = configuration.needsKeys && !route.isAnonymousAllowed
-        if (needsKey && !state.proof.isFresh(systemClocks.now())) {
-            return Rejected(Rejection(UNAVAILABLE, "keys cannot be checked", KEY_RETRY_MILLIS))
-        }
-        if (needsKey &&
-            organisation == null
-        ) {
-            return Rejected(Rejection(UNAUTHORIZED, "unknown key"))
+            is Admission.Admitted -> start(connection, request, facts, admitted)
         }
-        val service = chooseService(configuration, route)
-            ?: return Rejected(Rejection(UNAVAILABLE, "no service", KEY_RETRY_MILLIS))
-        return Admitted(route, service, organisation)
-    }
-
-    private fun chooseService(
-        configuration: TrafficConfiguration,
-        route: TrafficRoute
-    ): TrafficService? {
-        var rest = state.random.nextInt(maxOf(1, route.targets.sumOf { it.weight }))
-        val target = route.targets.firstOrNull {
-            rest -= it.weight
-            rest < 0
-        } ?: route.targets.first()
-        return configuration.services[target.service]
     }
 
     private fun start(
         connection: CallerConnection,
         request: ReadRequest,
         facts: CallerFacts,
-        admitted: Admitted
+        admitted: Admission.Admitted
     ): Call {
         val id = facts.requestId ?: RequestId("")
         val call = Call(
@@ -313,15 +263,11 @@
             put("wasRun", wasRun)
             put("sends", call.sends)
         }
-        val mayGoOn = when {
-            call.sends == 0 -> call.missed <= MISSED_MAX
-            call.sends >= call.route.endpointsMax -> false
-            wasRun && !call.route.isRepeatable -> false
-            call.isCommitted && !call.isResumable -> false
-            else -> {
-                val now = monotonicMillis()
-                state.allowance(call.service.id).tryTake(now, state.entries(now))
-            }
+        val history = SendHistory(call.sends, call.missed, wasRun, call.isCommitted)
+        val mayGoOn = when (resendAfterFailure(call.route, history)) {
+            Resend.FREE -> true
+            Resend.IN_BUDGET -> takeFromBudget(call, monotonicMillis())
+            Resend.NEVER -> false
         }
         call.mayHaveRun = call.mayHaveRun || (wasRun && wasSent)
         if (mayGoOn) placeOrWait(call, isFirst = false) else fail(call, reason)
@@ -431,12 +377,12 @@
     // Load pattern: an endpoint that is dead or cut off keeps its connections silent. A call that
     // may run again goes to another endpoint, but only to one that can take it at once.
     private fun checkStall(call: Call, nowMillis: Long) {
-        if (nowMillis - call.lastProgressMillis < stallMillis(call)) return
+        if (nowMillis - call.lastProgressMillis < stallMillis(call.route, call.isCommitted)) return
         if (call.sends + 1 >= call.route.endpointsMax) return
         val placement = place(call, nowMillis)
         val endpoint = call.endpoint
         if (placement !is Placement.Send || placement.endpoint === endpoint) return
-        if (!state.allowance(call.service.id).tryTake(nowMillis, state.entries(nowMillis))) return
+        if (!takeFromBudget(call, nowMillis)) return
         endpoint?.onSign(EndpointSign.BROKEN, nowMillis)
         log.event(EventCode.REQUEST_FAILED) {
             put("request", call.id.value)
@@ -449,15 +395,10 @@
         send(call, placement)
     }
 
-    private fun stallMillis(call: Call): Long = when {
-        call.route.kind != CallKind.STREAM -> maxOf(STALL_PLAIN_MILLIS, call.route.targetMillis)
-        call.isCommitted -> call.route.eventGapTargetMillis * STALL_GAPS
-        else -> call.route.targetMillis * STALL_TARGETS
-    }
+    private fun takeFromBudget(call: Call, nowMillis: Long): Boolean =
+        state.allowance(call.service.id).tryTake(nowMillis, state.entries(nowMillis))
 
     private companion object {
-        const val NOT_FOUND = 404
-        const val UNAUTHORIZED = 401
         const val BAD_GATEWAY = 502
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
@@ -469,15 +410,13 @@
         // Links between regions take a few milliseconds; a connection that takes this long has
         // lost a packet or has nobody at its other end.
         const val CONNECT_TIMEOUT_MILLIS = 300
-        const val MISSED_MAX = 3
-        const val START_RETRY_MILLIS = 500L
-        const val KEY_RETRY_MILLIS = 700L
+
+        // An engine that has its weights staged loads within about this time.
         const val NOWHERE_MILLIS = 800.0
         const val SHORT_RETRY_MILLIS = 200.0
+
+        // Callers abandon a stream after two seconds without an event.
         const val RESUME_WAIT_MILLIS = 1500L
         const val RESUME_BUDGET_MILLIS = 900.0
-        const val STALL_PLAIN_MILLIS = 150L
-        const val STALL_GAPS = 3
-        const val STALL_TARGETS = 2
     }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -15,6 +15,7 @@
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.VersionGate
 import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.daemon.node.zoneRegions
 import org.toucanspur.daemon.wallMillis
 import org.toucanspur.schema.NodeConfiguration
 import org.toucanspur.schema.RegionId
@@ -60,9 +61,7 @@
     )
 
     /** Region of each availability zone. */
-    val regions: Map<ZoneId, RegionId> = settings.node.zoneRegions.split(',')
-        .filter { ':' in it }
-        .associate { ZoneId(it.substringBefore(':')) to RegionId(it.substringAfter(':')) }
+    val regions: Map<ZoneId, RegionId> = zoneRegions(settings)
 
     private val allowances = HashMap<ServiceId, RetryAllowance>()
     private var entriesSeen = 0
