Keep the pause after a failed import for releases

Cause: the fault matrix's flow of weights (corrupt manifest chunks twice) drew more than four copies from the origin: the pause after a failed import had been halved for weight versions in ExchangePlanner, which releases share. Change: the pause is a limit of the exchange, 1 s for releases, 500 ms for weight versions.

--- a/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
@@ -25,6 +25,7 @@
     val importsMax: Int = 4,
     val storeFetchesMax: Int = importsMax,
     val importTimeoutMillis: Long = 4000,
+    val importRetryMillis: Long = 1000,
     val fetchTimeoutMillis: Long = 10_000,
     val importFetchTimeoutMillis: Long = 20_000,
     val importWindow: Int = 64,
@@ -206,7 +207,7 @@
         when {
             isImport(source) -> {
                 if (source is ChunkSource.Peer) remoteFailures[index]++
-                importRetryMillis = nowMillis + IMPORT_RETRY_MILLIS
+                importRetryMillis = nowMillis + limits.importRetryMillis
             }
             source is ChunkSource.Peer -> {
                 if (corrupt) {
@@ -339,7 +340,6 @@
     private class Fetching(val source: ChunkSource, val startMillis: Long)
 
     private companion object {
-        const val IMPORT_RETRY_MILLIS = 500L
         const val EXPIRY_MILLIS = 250L
         const val PERCENT = 100
         const val REMOTE_ATTEMPTS_MAX = 2
--- a/core/src/test/kotlin/org/toucanspur/core/weights/OriginOutageTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/weights/OriginOutageTest.kt
@@ -97,6 +97,7 @@
             importsMax = 10,
             storeFetchesMax = 3,
             importTimeoutMillis = 1000,
+            importRetryMillis = 500,
             fetchTimeoutMillis = 3000,
             importFetchTimeoutMillis = 3000,
             chokeMillis = 500
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
@@ -246,6 +246,7 @@
             // Most of these wait for another region's importer.
             importsMax = 6,
             importTimeoutMillis = 1000,
+            importRetryMillis = 500,
             fetchTimeoutMillis = 3000,
             importFetchTimeoutMillis = 3000,
             chokeMillis = 500
