Serve nothing before evacuations and named versions are listed; demand found versions at once

Before the first listing of versions any engine would have done. Change: such a version is due at once; until evacuations and versions are listed, requests are refused unrun and the entry is not ready. Tests: VersionGateTest, GatewayTest (both failed before).

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -45,13 +45,13 @@
 
     private fun isDue(version: Named, nowMillis: Long, loadedMax: Long): Boolean {
         val seenForMillis = nowMillis - version.seenMillis
-        val isLikelyOld = when (version.age) {
-            NameAge.NEW -> false
-            NameAge.FOUND_AFTER_OUTAGE -> loadedMax >= version.version
-            NameAge.FOUND_AT_START -> true
-        }
         return seenForMillis >= boundMillis - MARGIN_MILLIS ||
-            (isLikelyOld && seenForMillis >= FOUND_MILLIS)
+            when (version.age) {
+                NameAge.NEW -> false
+                NameAge.FOUND_AFTER_OUTAGE ->
+                    loadedMax >= version.version && seenForMillis >= FOUND_MILLIS
+                NameAge.FOUND_AT_START -> true
+            }
     }
 
     private class Named(val version: Long, val seenMillis: Long, val age: NameAge)
@@ -60,7 +60,7 @@
         // News of the version, and the wait of a request in an endpoint's queue.
         const val MARGIN_MILLIS = 1200L
 
-        // Time for endpoints to report to an entry that has just started.
+        // Time for endpoints to report after an outage.
         const val FOUND_MILLIS = 500L
         const val KEPT_MAX = 8
     }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
@@ -21,11 +21,10 @@
             }
         }
         describe("a version that is found named at a start") {
-            it("is needed soon, also when no endpoint has it yet") {
+            it("is needed at once, also when no endpoint has it yet") {
                 val gate = VersionGate(boundMillis = 8000)
                 gate.onNamed(model, 2, 0, NameAge.FOUND_AT_START)
-                gate.versionMin(model, 499, loadedMax = 1) shouldBe 0
-                gate.versionMin(model, 500, loadedMax = 1) shouldBe 2
+                gate.versionMin(model, 0, loadedMax = 1) shouldBe 2
             }
         }
         describe("a version that is found named after an outage of the store") {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallAdmission.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallAdmission.kt
@@ -28,7 +28,9 @@
     /** Admits [request], whose headers say [facts]. */
     fun admit(request: ReadRequest, facts: CallerFacts): Admission {
         val configuration = state.configuration
-            ?: return reject(UNAVAILABLE, "no configuration yet", START_RETRY_MILLIS)
+        if (configuration == null || !state.isComplete) {
+            return reject(UNAVAILABLE, "no configuration yet", START_RETRY_MILLIS)
+        }
         val host = request.head.headers().get(HttpHeaderNames.HOST).orEmpty()
         val route = configuration.route(host, request.head.uri())
             ?: return reject(NOT_FOUND, "no route")
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -50,7 +50,7 @@
         (settings.limits.descriptors - DESCRIPTORS_RESERVED) / 2
     )
     private val reports = LoadSubscriber(loop, state, dispatcher::onLoadChanged)
-    private val listingAge = ListingAge()
+    private val listingAge = ListingAge { state.listedKinds += ObjectKind.WEIGHT_VERSIONS }
     private val longWaits = mutableListOf<Job>()
     private var isStopping = false
     private var areKeysFresh = false
@@ -100,7 +100,7 @@
     }
 
     private fun isReady(): Boolean =
-        !isStopping && state.configuration != null && state.proof.isFresh(systemClocks.now())
+        !isStopping && state.isComplete && state.proof.isFresh(systemClocks.now())
 
     private fun checkProof() {
         val now = systemClocks.now()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -4,6 +4,7 @@
  */
 package org.toucanspur.daemon.gateway
 
+import java.util.EnumSet
 import kotlin.random.Random
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
@@ -14,6 +15,7 @@
 import org.toucanspur.core.gateway.RetryBudgetLimits
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.VersionGate
+import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.node.zoneRegions
 import org.toucanspur.daemon.wallMillis
@@ -37,6 +39,18 @@
     /** The configuration in force; null before the first one. */
     var configuration: TrafficConfiguration? = null
 
+    /** Kinds of which the store's objects are known. */
+    val listedKinds: MutableSet<ObjectKind> = EnumSet.noneOf(ObjectKind::class.java)
+
+    /**
+     * Whether nothing is missing without which a request could go where it must not: an entry that
+     * has just started does not know of evacuations and named versions.
+     */
+    val isComplete: Boolean
+        get() = configuration != null &&
+            ObjectKind.EVACUATIONS in listedKinds &&
+            ObjectKind.WEIGHT_VERSIONS in listedKinds
+
     /** All endpoints. */
     val fleet = Fleet()
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/StoreSinks.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/StoreSinks.kt
@@ -138,6 +138,7 @@
 class EvacuationSink(private val state: GatewayState, log: DecisionLog) :
     LoggingSink(ObjectKind.EVACUATIONS, log) {
     override fun onListing(objects: List<StoredObject>) {
+        state.listedKinds += ObjectKind.EVACUATIONS
         val listed = objects.map { ZoneId(it.name) }.toSet()
         (state.zonesOut - listed).forEach(::takeBack)
         (listed - state.zonesOut).forEach(::evacuate)
@@ -161,14 +162,14 @@
     }
 }
 
-/** Keeps the weight versions that the operator names; [listingAge] is asked at each listing. */
+/** Keeps the weight versions that the operator names; [listingAge] gives the age of listed ones. */
 class VersionSink(
     log: DecisionLog,
-    private val listingAge: () -> NameAge,
+    private val listingAge: ListingAge,
     private val onNamed: (NamedVersion, NameAge) -> Unit
 ) : LoggingSink(ObjectKind.WEIGHT_VERSIONS, log) {
     override fun onListing(objects: List<StoredObject>) {
-        val age = listingAge()
+        val age = listingAge.next()
         objects.forEach { adopt(it, age) }
     }
 
@@ -187,12 +188,14 @@
 }
 
 /** The age of names in listings: before the first one the process has just started. */
-class ListingAge : () -> NameAge {
+class ListingAge(private val onListed: () -> Unit = {}) {
     private var isFirst = true
 
-    override fun invoke(): NameAge {
+    /** The age of the names in the listing that has just come. */
+    fun next(): NameAge {
         val age = if (isFirst) NameAge.FOUND_AT_START else NameAge.FOUND_AFTER_OUTAGE
         isFirst = false
+        onListed()
         return age
     }
 }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -24,6 +24,7 @@
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
+import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.net.NetLoop
 import org.toucanspur.schema.AddressesSection
@@ -70,7 +71,7 @@
 )
 
 /** A gateway before scripted endpoints; the ports of [endpoints] are its fleet. */
-private class Gateway(endpoints: List<Int>, isFresh: Boolean = true) {
+private class Gateway(endpoints: List<Int>, isFresh: Boolean = true, isListed: Boolean = true) {
     private val loop = NetLoop()
     private val log = DecisionLog(VmId("vm"), PrintStream(ByteArrayOutputStream()))
     private val state = GatewayState(settings(), Random(1))
@@ -80,6 +81,7 @@
         val ready = CountDownLatch(1)
         loop.executor.execute {
             state.configuration = configuration()
+            if (isListed) state.listedKinds += ObjectKind.entries
             if (isFresh) state.proof.renew(systemClocks.now())
             endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
             ready.countDown()
@@ -170,6 +172,11 @@
                 answer shouldContain "Retry-After"
                 one.seen.shouldBeEmpty()
             }
+            it("is refused unrun while named versions and evacuations are not known") {
+                val one = endpoint { request, socket -> socket.answer(request, "fine") }
+                Gateway(listOf(one.port), isListed = false).call("/once/") shouldContain "503"
+                one.seen.shouldBeEmpty()
+            }
             it("is rejected when its body is beyond the limit or its framing is ambiguous") {
                 val gateway = Gateway(emptyList())
                 gateway.call("/once/", body = "x".repeat(1001)) shouldContain "413"
