--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
@@ -7,7 +7,9 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import java.io.ByteArrayOutputStream
+import java.io.IOException
 import java.io.PrintStream
+import java.net.DatagramSocket
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -15,6 +17,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
@@ -39,7 +42,29 @@
 
 private val patience = 30.seconds
 
-private fun freePort() = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+// Below the ports that the system gives to outgoing connections, which would take a port between
+// its choice and the entry's start.
+private const val FIRST_PORT = 20_000
+private const val LAST_PORT = 32_000
+private const val PORTS_EACH = 4
+private val nextPort = AtomicInteger(FIRST_PORT)
+
+/** The first of [PORTS_EACH] ports that are free. */
+private fun freePorts(): Int {
+    while (true) {
+        val first = nextPort.getAndAdd(PORTS_EACH)
+        check(first + PORTS_EACH <= LAST_PORT) { "no free ports; end other runs of the tests" }
+        if ((first until first + PORTS_EACH).all(::isFree)) return first
+    }
+}
+
+private fun isFree(port: Int): Boolean = try {
+    ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close()
+    DatagramSocket(port, InetAddress.getLoopbackAddress()).close()
+    true
+} catch (_: IOException) {
+    false
+}
 
 /** A plain endpoint that can hold its answers back. */
 private class HoldingEndpoint : AutoCloseable {
@@ -72,8 +97,11 @@
     val store = ObjectStoreService()
     val one = HoldingEndpoint()
     val two = HoldingEndpoint()
-    private val callersPort = freePort()
-    private val readinessPort = freePort()
+    private val callersPort = freePorts()
+    private val readinessPort = callersPort + 1
+
+    // Datagrams and, one above, metrics.
+    private val peerPort = callersPort + 2
     val entry = GatewayEntry(
         settings(),
         NetLoop(),
@@ -82,7 +110,7 @@
 
     private fun settings() = NodeConfiguration(
         NodeSection(NodeRole.ENTRY, VmId("vm"), "127.0.0.1", ZoneId("z"), RegionId("r"), "z:r"),
-        AddressesSection("127.0.0.1:$callersPort", "127.0.0.1:$readinessPort", freePort()),
+        AddressesSection("127.0.0.1:$callersPort", "127.0.0.1:$readinessPort", peerPort),
         StoreSection(store.address),
         EngineSection("none", ServiceId("none")),
         LimitsSection(430, 4200, 1000.0),
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -41,10 +41,12 @@
     override val bodyMaxBytes: Int
         get() = state.configuration?.limits?.bodyMaxBytes ?: DEFAULT_BODY_BYTES
 
-    /** Starts to listen. */
-    fun start(address: InetSocketAddress) {
-        listener = loop.listen(address, ::prepare).sync().channel()
+    /** Starts to listen; returns the bound address. */
+    fun start(address: InetSocketAddress): InetSocketAddress {
+        val bound = loop.listen(address, ::prepare).sync().channel()
+        listener = bound
         loop.every(SWEEP_MILLIS, ::sweep)
+        return bound.localAddress() as InetSocketAddress
     }
 
     private fun prepare(channel: Channel) {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -75,7 +75,7 @@
     private val loop = NetLoop()
     private val log = DecisionLog(VmId("vm"), PrintStream(ByteArrayOutputStream()))
     private val state = GatewayState(settings(), Random(1))
-    val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    val port: Int
 
     init {
         val ready = CountDownLatch(1)
@@ -89,8 +89,8 @@
         ready.await()
         val metrics = GatewayMetrics(SimpleMeterRegistry())
         val dispatcher = CallDispatcher(loop, state, PlainCodec, log, metrics)
-        GatewayServer(loop, state, dispatcher, connectionsMax = 100)
-            .start(InetSocketAddress("127.0.0.1", port))
+        val server = GatewayServer(loop, state, dispatcher, connectionsMax = 100)
+        port = server.start(InetSocketAddress("127.0.0.1", 0)).port
     }
 
     private fun configuration() = TrafficConfiguration(
