--- a/core/src/main/kotlin/org/toucanspur/core/gateway/EngineModel.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/EngineModel.kt
@@ -21,6 +21,11 @@
 fun promptMillis(engine: EngineTiming, tokens: Int): Double =
     tokens / engine.promptTokensPerSecond * MILLIS_PER_SECOND
 
+/** Time that the answer to a usual request takes when all slots are taken. */
+fun usualAnswerMillis(engine: EngineTiming): Double =
+    engine.usualAnswerTokens * stepMillis(engine, engine.slots) /
+        (1 - readingShare(engine, engine.slots))
+
 /** Time between two requests that end, when all slots are taken. */
 fun completionIntervalMillis(engine: EngineTiming): Double {
     val running = maxOf(1, engine.slots)
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -181,6 +181,11 @@
     /** Whether the endpoint's agent says that it takes nothing new. */
     fun isPaused(nowMillis: Long): Boolean = freshReport(nowMillis)?.isLoading == true
 
+    /** Time until the load of weights that the endpoint's agent plans; null when none is known. */
+    fun nextLoadMillis(nowMillis: Long): Long? =
+        freshReport(nowMillis)?.nextLoadMillis?.takeIf { it >= 0 }
+            ?.let { maxOf(0, reportMillis + it - nowMillis) }
+
     private companion object {
         // Agents report every 100 ms, so that four may be lost.
         const val REPORT_FRESH_MILLIS = 500L
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -21,7 +21,9 @@
     val zonesOut: Set<ZoneId>,
     val tried: Set<EndpointId>,
     /** Lowest weight version on which the request may begin; 0 for any. */
-    val versionMin: Long
+    val versionMin: Long,
+    /** Whether the request has no send left after this one, so that a load must not cut it off. */
+    val mustFinish: Boolean = false
 )
 
 /** The choice for one request. */
@@ -85,7 +87,14 @@
             (query.regions == null || record.region in query.regions) &&
             hasWeights(endpoint, query, nowMillis) &&
             !endpoint.isAvoided(nowMillis) &&
-            !endpoint.isPaused(nowMillis)
+            !endpoint.isPaused(nowMillis) &&
+            !(query.mustFinish && isCutOff(endpoint, query, nowMillis))
+    }
+
+    private fun isCutOff(endpoint: FleetEndpoint, query: PlacementQuery, nowMillis: Long): Boolean {
+        val engine = query.service.engine ?: return false
+        val next = endpoint.nextLoadMillis(nowMillis) ?: return false
+        return next < usualAnswerMillis(engine)
     }
 
     private fun hasWeights(
--- a/core/src/main/kotlin/org/toucanspur/core/weights/LoadSchedule.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/LoadSchedule.kt
@@ -28,5 +28,13 @@
     return namedMillis + (boundMillis * offset).toLong()
 }
 
+/**
+ * Time from [nowMillis] to the next load at an endpoint that serves [loaded], where each version
+ * has its time in [dueMillis]; 0 when one is overdue, null when none is to come. A version that was
+ * named while another waits for its load comes after it, so that the earliest time counts.
+ */
+fun nextLoadMillis(loaded: Long, dueMillis: Map<Long, Long>, nowMillis: Long): Long? =
+    dueMillis.filterKeys { it > loaded }.values.minOrNull()?.let { maxOf(0, it - nowMillis) }
+
 /** Whether a transfer that has [held] of [total] pieces ends before a newer version starts. */
 fun finishesFirst(held: Int, total: Int): Boolean = total > 0 && held * 2 >= total
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/GatewayFixture.kt
@@ -60,7 +60,8 @@
     version: Long = 1,
     isLoading: Boolean = false,
     pacePercent: Int = 100,
-    entryIndex: Int = 0
+    entryIndex: Int = 0,
+    nextLoadMillis: Long = -1
 ) = LoadReport(
     VmId("vm"),
     0,
@@ -69,6 +70,7 @@
     waiting,
     version,
     isLoading,
+    nextLoadMillis,
     pacePercent,
     entries = 4,
     entryIndex = entryIndex
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/PlacementTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/PlacementTest.kt
@@ -86,6 +86,37 @@
                 placer(fleet).place(query(), BUDGET_MILLIS, 0, 4) shouldBe Placement.Nowhere
             }
         }
+        describe("the last send that a request has, during a rollout of weights") {
+            fun plannedFleet(firstMillis: Long, secondMillis: Long) =
+                fleet(record("e0"), record("e1")).apply {
+                    val plans = mapOf("e0" to firstMillis, "e1" to secondMillis)
+                    plans.forEach { (id, millis) ->
+                        find(EndpointId(id))!!.onReport(report(3, nextLoadMillis = millis), 0)
+                    }
+                }
+
+            fun placeLast(fleet: Fleet, nowMillis: Long) = placer(fleet)
+                .place(query().copy(mustFinish = true), BUDGET_MILLIS, nowMillis, 4)
+
+            it("goes to an endpoint that does not load before the answer ends") {
+                val sent = placeLast(plannedFleet(600, 5000), 0)
+                sent.shouldBeInstanceOf<Placement.Send>().endpoint.record.id.value shouldBe "e1"
+            }
+            it("goes to an endpoint that has loaded already") {
+                val sent = placeLast(plannedFleet(0, -1), 0)
+                sent.shouldBeInstanceOf<Placement.Send>().endpoint.record.id.value shouldBe "e1"
+            }
+            it("finds none while all load soon, also by a report that has aged") {
+                placeLast(plannedFleet(0, 600), 0) shouldBe Placement.Nowhere
+                val agedMillis = 400L
+                val justAfter = usualAnswerMillis(engine).toLong() + agedMillis - 1
+                placeLast(plannedFleet(0, justAfter), agedMillis) shouldBe Placement.Nowhere
+            }
+            it("is not held back by loads when another send is left") {
+                placer(plannedFleet(0, 600)).place(query(), BUDGET_MILLIS, 0, 4)
+                    .shouldBeInstanceOf<Placement.Send>()
+            }
+        }
         describe("the prediction for one engine") {
             // First events measured on a day with twelve requests a second for each engine.
             val measured = mapOf(4 to 120.0, 8 to 135.0, 12 to 158.0, 14 to 241.0, 15 to 302.0)
--- a/core/src/test/kotlin/org/toucanspur/core/weights/LoadScheduleTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/weights/LoadScheduleTest.kt
@@ -23,6 +23,18 @@
                 loadTimeMillis(1000, 0, "m/2", vms[0], vms) shouldBe 1000
             }
         }
+        describe("the next load of an endpoint") {
+            it("is that of the version in waiting, not of one that was named after it") {
+                nextLoadMillis(1, mapOf(1L to 0L, 2L to 6000L, 3L to 9000L), 5000) shouldBe 1000
+                nextLoadMillis(2, mapOf(2L to 6000L, 3L to 9000L), 5000) shouldBe 4000
+            }
+            it("may begin at any moment when it is overdue") {
+                nextLoadMillis(1, mapOf(2L to 6000L), 6500) shouldBe 0
+            }
+            it("is unknown with the newest version") {
+                nextLoadMillis(3, mapOf(2L to 6000L, 3L to 9000L), 5000) shouldBe null
+            }
+        }
         describe("a transfer when a newer version is named") {
             it("goes on only when half of it is done") {
                 finishesFirst(48, 96) shouldBe true
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -27,6 +27,7 @@
 import org.toucanspur.core.weights.RunningRequests
 import org.toucanspur.core.weights.finishesFirst
 import org.toucanspur.core.weights.loadTimeMillis
+import org.toucanspur.core.weights.nextLoadMillis
 import org.toucanspur.daemon.gateway.KindFollower
 import org.toucanspur.daemon.gateway.KindSink
 import org.toucanspur.daemon.gateway.ListingAge
@@ -210,7 +211,7 @@
         // entries are told first.
         isLoading = true
         pushReport()
-        delay(PAUSE_MILLIS)
+        if (loaded > 0) delay(PAUSE_MILLIS)
         val fresh = engine.report().get()
         isLoading = fresh != null &&
             !fresh.isBusy &&
@@ -227,7 +228,17 @@
         return if (areResumable) RunningRequests.CUT else RunningRequests.AWAIT
     }
 
-    private fun pushReport() = reporter.push(report, model, isLoading)
+    private fun pushReport() = reporter.push(report, model, isLoading, nextLoadMillis())
+
+    private fun nextLoadMillis(): Long {
+        val model = model ?: return NO_LOAD
+        val loaded = report?.loadedVersions?.get(model) ?: 0
+        if (loaded == 0L) return NO_LOAD
+        val dueTimes = named[model].orEmpty().associate { (version, namedMillis) ->
+            version to dueMillis(model, version, namedMillis)
+        }
+        return nextLoadMillis(loaded, dueTimes, monotonicMillis()) ?: NO_LOAD
+    }
 
     // The newest version whose pieces are all here.
     private fun readyVersion(model: ModelId, newest: Long): Long? {
@@ -364,6 +375,7 @@
 
     private companion object {
         const val FIRST_VERSION = 1L
+        const val NO_LOAD = -1L
         const val WAIT_MILLIS = 10_000L
         const val REPORT_MILLIS = 100L
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
@@ -28,7 +28,7 @@
     }
 
     /** Pushes the state of the endpoint; [report] is null when it does not answer. */
-    fun push(report: EngineReport?, model: ModelId?, isLoading: Boolean) {
+    fun push(report: EngineReport?, model: ModelId?, isLoading: Boolean, nextLoadMillis: Long) {
         val now = monotonicMillis()
         subscribers.values.removeIf { now - it > SUBSCRIPTION_MILLIS }
         if (subscribers.isEmpty()) return
@@ -40,6 +40,7 @@
             waiting = report?.waiting ?: 0,
             loadedVersion = model?.let { report?.loadedVersions?.get(it) } ?: 0,
             isLoading = isLoading || report == null,
+            nextLoadMillis = nextLoadMillis,
             pacePercent = report?.pacePercent ?: USUAL_PACE,
             entries = subscribers.size,
             entryIndex = 0
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -119,7 +119,7 @@
     private fun mayAppear(call: Call): Boolean =
         state.fleet.of(call.service.id).any { it.record.isReady }
 
-    private fun place(call: Call, nowMillis: Long): Placement {
+    private fun place(call: Call, nowMillis: Long, isLastChance: Boolean = false): Placement {
         val elapsed = nowMillis - call.request.receivedMillis
         val budget = if (call.isCommitted) {
             RESUME_BUDGET_MILLIS
@@ -132,7 +132,10 @@
             regions = homes(call),
             zonesOut = state.zonesOut,
             tried = call.tried,
-            versionMin = versionMin(call, nowMillis)
+            versionMin = versionMin(call, nowMillis),
+            mustFinish = !isLastChance &&
+                call.sends > 0 &&
+                call.sends + 1 >= call.route.endpointsMax
         )
         return state.placer.place(query, budget, nowMillis, state.entries(nowMillis))
     }
@@ -188,6 +191,7 @@
             put("isOnTime", call.isOnTime)
             put("occupancy", endpoint.occupancy(now, state.entries(now)))
             put("reportAgeMillis", endpoint.reportAgeMillis(now))
+            endpoint.nextLoadMillis(now)?.let { put("nextLoadMillis", it) }
             put("configuration", state.configuration?.version ?: 0)
             if (isAgain) put("send", call.sends + 1)
         }
@@ -354,10 +358,13 @@
     }
 
     private fun onOverdue(call: Call, nowMillis: Long) {
+        // An endpoint that may load before the answer ends is better than none.
+        val lastChance = place(call, nowMillis, isLastChance = true)
         when {
+            call.sends > 0 && lastChance is Placement.Send -> send(call, lastChance)
             call.isCommitted -> fail(call, "no endpoint to resume at")
             call.mayHaveRun -> fail(call, "no endpoint for another send")
-            else -> refuse(call, place(call, nowMillis))
+            else -> refuse(call, lastChance)
         }
     }
 
