Tell failed fetches apart, leave silent agents out, and hold the stand-in for stalled importers

Any failed import paused all imports for half a second; the outage counted as a stall, so that every agent imported every piece by itself when it ended; pieces of a dead agent each waited for another stall of a second. Change: a failed fetch has a reason (unreachable, corrupt, not yet, cut off); only the store's own failures pause imports from it, and do not count as a stall; an importer that does not answer is left out by the others; a member of the region that is silent for a second has no duties; whoever steps in for a stalled importer goes on for a second. An agent whose origin is out of reach says so at once.

--- a/bench/src/main/kotlin/org/toucanspur/bench/weights/VirtualExchange.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/weights/VirtualExchange.kt
@@ -10,6 +10,7 @@
 import org.toucanspur.core.weights.ExchangeEffect
 import org.toucanspur.core.weights.ExchangeLimits
 import org.toucanspur.core.weights.ExchangePlanner
+import org.toucanspur.core.weights.FetchFailure
 import org.toucanspur.core.weights.TransferPacer
 import org.toucanspur.core.weights.directShare
 import org.toucanspur.core.weights.neighboursOf
@@ -371,7 +372,9 @@
 
         private fun lose(index: Int) {
             at(SILENCE_MILLIS) {
-                if (!isDead && !isDone) planner.onFailed(index, corrupt = false, nowMillis)
+                if (!isDead && !isDone) {
+                    planner.onFailed(index, FetchFailure.UNREACHABLE, nowMillis)
+                }
             }
         }
 
@@ -400,7 +403,7 @@
             val isCorrupt =
                 nowMillis < corruptUntil || random.nextDouble() < scenario.corruptShare
             if (isCorrupt) {
-                planner.onFailed(index, corrupt = true, nowMillis)
+                planner.onFailed(index, FetchFailure.CORRUPT, nowMillis)
             } else {
                 present[index] = true
                 waiting.remove(index)?.forEach { send(it, index) }
--- a/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
@@ -30,7 +30,12 @@
     val importFetchTimeoutMillis: Long = 20_000,
     val importWindow: Int = 64,
     val chokeMillis: Long = 1000,
-    val uploadSlackPercent: Int = 2
+    val uploadSlackPercent: Int = 2,
+    /**
+     * Time without a word after which a member of the region is taken for dead, where members speak
+     * regularly; 0 where they do not.
+     */
+    val silenceMillis: Long = 0
 )
 
 /** Where a chunk is fetched from. */
@@ -74,19 +79,27 @@
     private val peers = PeerBook(chunkCount, random)
     private val duties = ImportDuties(release, self, chunkCount)
     private val fetches = arrayOfNulls<Fetching>(chunkCount)
-    private val remoteFailures = IntArray(chunkCount)
     private var uploads = 0
     private var isChoked = false
     private var imports = 0
     private var storeFetches = 0
     private var exchanges = 0
     private val pace = ProgressPace(startMillis, limits.importTimeoutMillis)
+    private val presence = Presence(self, limits.silenceMillis, startMillis)
     private var lastExpiryMillis = startMillis
-    private var importRetryMillis = startMillis
+    private var storeRetryMillis = startMillis
+    private var storeFailedMillis = startMillis - limits.importTimeoutMillis
+    private var remoteRetryMillis = startMillis
+    private var heldRank = 0
+    private var heldRankUntilMillis = startMillis
 
     /** Chunks held and verified. */
     val heldCount: Int get() = held.cardinality()
 
+    /** Whether the weight store failed at the last attempt to import from it. */
+    var isStoreDown: Boolean = false
+        private set
+
     /** Whether all chunks are here. */
     val isComplete: Boolean get() = heldCount == total
 
@@ -100,7 +113,10 @@
     }
 
     /** Sets the live VMs of the region that take part; includes this VM. */
-    fun setMembers(vms: Collection<VmId>) = duties.setMembers(vms)
+    fun setMembers(vms: Collection<VmId>) {
+        presence.setListed(vms)
+        duties.setMembers(presence.present(lastExpiryMillis))
+    }
 
     /**
      * Sets the VMs that import from the weight store: those of the region nearest to it, empty when
@@ -118,6 +134,7 @@
 
     /** Records the bitmap of a neighbour. */
     fun onPeerBitmap(vm: VmId, bitmap: ByteArray, nowMillis: Long) {
+        presence.onHeard(vm, nowMillis)
         val chunks = BitSet.valueOf(bitmap)
         for (index in 0 until total) {
             if (chunks.get(index)) onPeerChunk(vm, index, nowMillis)
@@ -190,6 +207,7 @@
     fun onVerified(index: Int, nowMillis: Long): List<ExchangeEffect> {
         val source = end(index)?.source
         if (source is ChunkSource.Peer) peers.onVerified(source.vm)
+        if (source is ChunkSource.Store) isStoreDown = false
         if (held.get(index)) return emptyList()
         held.set(index)
         wanted.clear(index)
@@ -201,20 +219,16 @@
         )
     }
 
-    /** Records a failed fetch; a [corrupt] answer charges its source. */
-    fun onFailed(index: Int, corrupt: Boolean, nowMillis: Long) {
+    /** Records a failed fetch; a corrupt answer charges its source. */
+    fun onFailed(index: Int, failure: FetchFailure, nowMillis: Long) {
         val source = end(index)?.source ?: return
         when {
-            isImport(source) -> {
-                if (source is ChunkSource.Peer) remoteFailures[index]++
-                importRetryMillis = nowMillis + limits.importRetryMillis
-            }
+            source is ChunkSource.Store -> onStoreFailed(failure, nowMillis)
+            source is ChunkSource.Peer && source.isRemote ->
+                onImporterFailed(source.vm, failure, nowMillis)
             source is ChunkSource.Peer -> {
-                if (corrupt) {
-                    peers.charge(
-                        source.vm,
-                        nowMillis
-                    )
+                if (failure == FetchFailure.CORRUPT) {
+                    peers.charge(source.vm, nowMillis)
                 } else {
                     peers.withdraw(source.vm, index)
                 }
@@ -223,6 +237,30 @@
         }
     }
 
+    private fun onImporterFailed(importer: VmId, failure: FetchFailure, nowMillis: Long) {
+        if (failure == FetchFailure.NOT_YET) return
+        if (failure == FetchFailure.CUT_OFF) {
+            remoteRetryMillis = nowMillis + limits.importRetryMillis
+            pace.excuse(nowMillis)
+            // An outage of the weight store is no fault of the importer, which may be the last to
+            // notice its end.
+            val isOutage = isStoreDown || nowMillis < storeFailedMillis + limits.importTimeoutMillis
+            if (isOutage) return
+        }
+        duties.avoid(importer, nowMillis + AVOIDED_MILLIS)
+    }
+
+    // While the weight store is down no other importer would do better, so that the time does not
+    // count as a stall: all members would import the same chunks from it when it is back.
+    private fun onStoreFailed(failure: FetchFailure, nowMillis: Long) {
+        storeRetryMillis = nowMillis + limits.importRetryMillis
+        if (failure == FetchFailure.CORRUPT) return
+        isStoreDown = true
+        storeFailedMillis = nowMillis
+        duties.avoidNone()
+        pace.excuse(nowMillis)
+    }
+
     private fun end(index: Int): Fetching? {
         val fetch = fetches[index] ?: return null
         fetches[index] = null
@@ -251,10 +289,12 @@
     private fun expireFetches(nowMillis: Long) {
         if (nowMillis - lastExpiryMillis < EXPIRY_MILLIS) return
         lastExpiryMillis = nowMillis
+        duties.setMembers(presence.present(nowMillis))
+        presence.takeSilent(nowMillis).forEach(::onPeerLost)
         for (index in 0 until total) {
             val fetch = fetches[index] ?: continue
             if (nowMillis - fetch.startMillis < timeoutOf(fetch.source)) continue
-            onFailed(index, corrupt = false, nowMillis)
+            onFailed(index, FetchFailure.UNREACHABLE, nowMillis)
         }
     }
 
@@ -271,27 +311,46 @@
     // Imports advance in an order that all VMs share, a window ahead of what the region is known
     // to hold, so that the links into the region carry no long queues.
     private fun planImports(nowMillis: Long, effects: MutableList<ExchangeEffect>) {
-        if (imports >= limits.importsMax || nowMillis < importRetryMillis) return
-        val rankLimit = pace.stalls(nowMillis)
+        if (imports >= limits.importsMax) return
+        val rankLimit = rankLimit(nowMillis)
         val turnLimit = inRegion.cardinality() + limits.importWindow * (1 + rankLimit)
         for (index in duties.ordered) {
             if (imports >= limits.importsMax || duties.rankOf(index) > rankLimit) return
             val isDue = duties.turnOf(index) < turnLimit
             if (!isDue || !isMissing(index) || inRegion.get(index)) continue
-            val source = importSource(index, rankLimit)
-            // Imports from other regions wait for their importers; the weight store must not wait
-            // with them.
-            if (source is ChunkSource.Store && storeFetches >= limits.storeFetchesMax) continue
+            val source = importSource(index, rankLimit, nowMillis)
+            val mayAsk = if (source is ChunkSource.Store) {
+                mayAskStore(nowMillis)
+            } else {
+                nowMillis >= remoteRetryMillis
+            }
+            if (!mayAsk) continue
             if (source is ChunkSource.Store) storeFetches++
             imports++
             start(index, source, nowMillis, effects)
         }
     }
 
-    private fun importSource(index: Int, stalls: Int): ChunkSource {
-        val attempt = maxOf(remoteFailures[index], stalls)
-        val importer = duties.homeImporter(index, attempt)
-        val isFromStore = importer == null || importer == self || attempt >= REMOTE_ATTEMPTS_MAX
+    // Imports from other regions wait for their importers; the weight store must not wait with
+    // them.
+    private fun mayAskStore(nowMillis: Long): Boolean =
+        storeFetches < limits.storeFetchesMax && nowMillis >= storeRetryMillis
+
+    // An importer that stalls has other chunks to import too. Each of them is progress, so that
+    // whoever steps in goes on for a while without another timeout.
+    private fun rankLimit(nowMillis: Long): Int {
+        val stalls = pace.stalls(nowMillis)
+        if (nowMillis >= heldRankUntilMillis) heldRank = 0
+        if (stalls > 0) {
+            heldRank = maxOf(heldRank, stalls)
+            heldRankUntilMillis = nowMillis + limits.importTimeoutMillis
+        }
+        return maxOf(stalls, heldRank)
+    }
+
+    private fun importSource(index: Int, stalls: Int, nowMillis: Long): ChunkSource {
+        val importer = duties.homeImporter(index, stalls, nowMillis)
+        val isFromStore = importer == null || importer == self || stalls >= REMOTE_ATTEMPTS_MAX
         return if (isFromStore) {
             ChunkSource.Store
         } else {
@@ -343,5 +402,8 @@
         const val EXPIRY_MILLIS = 250L
         const val PERCENT = 100
         const val REMOTE_ATTEMPTS_MAX = 2
+
+        // An importer of another region that does not answer is left out for this long.
+        const val AVOIDED_MILLIS = 3000L
     }
 }
--- a/core/src/main/kotlin/org/toucanspur/core/weights/ImportDuties.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ImportDuties.kt
@@ -19,6 +19,7 @@
     private var home: List<VmId> = emptyList()
     private var homeHashes = LongArray(0)
     private var directShare = 0.0
+    private val avoidedUntil = HashMap<VmId, Long>()
     private val turns = IntArray(chunkCount)
     private var ranks = IntArray(chunkCount)
     private var byRank: List<Int> = (0 until chunkCount).toList()
@@ -62,14 +63,23 @@
         homeHashes = home.map { stableHash(it.value) }.toLongArray()
     }
 
+    /** Leaves [vm] out as an importer for other regions until [untilMillis]. */
+    fun avoid(vm: VmId, untilMillis: Long) {
+        avoidedUntil[vm] = untilMillis
+    }
+
+    /** Leaves no importer out any longer. */
+    fun avoidNone() = avoidedUntil.clear()
+
     /**
      * The VM to import the chunk at [index] from, at the given [attempt] from 0; null when it
      * comes from the weight store.
      */
-    fun homeImporter(index: Int, attempt: Int): VmId? {
+    fun homeImporter(index: Int, attempt: Int, nowMillis: Long): VmId? {
         if (turns[index] % SHARE_PARTS < directShare * SHARE_PARTS) return null
         val key = releaseHash + index
         return homeHashes.indices
+            .filter { nowMillis >= (avoidedUntil[home[it]] ?: 0) }
             .sortedByDescending { rendezvousScore(key, homeHashes[it]) }
             .getOrNull(attempt)
             ?.let(home::get)
--- a/core/src/main/kotlin/org/toucanspur/core/weights/ProgressPace.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ProgressPace.kt
@@ -17,6 +17,11 @@
         lastMillis = nowMillis
     }
 
+    /** Notes a cause for the lack of progress that no other importer could mend. */
+    fun excuse(nowMillis: Long) {
+        lastMillis = nowMillis
+    }
+
     /** Time that the import of [chunks] takes at the present pace. */
     fun millisFor(chunks: Int): Long = (intervalMillis * chunks).toLong()
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/ReleaseTransfer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/ReleaseTransfer.kt
@@ -27,6 +27,7 @@
 import org.toucanspur.core.weights.ExchangeEffect
 import org.toucanspur.core.weights.ExchangeLimits
 import org.toucanspur.core.weights.ExchangePlanner
+import org.toucanspur.core.weights.FetchFailure
 import org.toucanspur.core.weights.Manifest
 import org.toucanspur.core.weights.ManifestAssembler
 import org.toucanspur.daemon.log.EventLog
@@ -288,7 +289,12 @@
             if (put == ChunkPut.STORED) {
                 current.onVerified(index, monotonicMillis())
             } else {
-                current.onFailed(index, put == ChunkPut.CORRUPT, monotonicMillis())
+                val failure = if (put == ChunkPut.CORRUPT) {
+                    FetchFailure.CORRUPT
+                } else {
+                    FetchFailure.UNREACHABLE
+                }
+                current.onFailed(index, failure, monotonicMillis())
                 emptyList()
             }
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -357,22 +357,32 @@
         }
     }
 
-    // A peer may ask for a piece that is on its way here; it gets it as soon as it is.
+    // A peer may ask for a piece that is on its way here; it gets it as soon as it is, or learns
+    // that the origin is out of reach.
     private fun onQuery(query: PieceQuery, reply: (PieceReply) -> Unit) {
         loop.scope.launch {
             val end = monotonicMillis() + QUERY_WAIT_MILLIS
             var found = replyFrom(library, query)
-            while (found == null && monotonicMillis() < end) {
+            while (found == null && monotonicMillis() < end && !isOriginDown(query)) {
                 delay(QUERY_POLL_MILLIS)
                 found = replyFrom(library, query)
             }
-            val none = PieceReply(query.model, query.version, query.index, ByteArray(0))
+            val none = PieceReply(
+                query.model,
+                query.version,
+                query.index,
+                ByteArray(0),
+                isCutOff = isOriginDown(query)
+            )
             if (found != null) uploads.pass(found.bytes.size)
             reply(found ?: none)
             if (found != null) transfer?.onUploaded()
         }
     }
 
+    private fun isOriginDown(query: PieceQuery): Boolean =
+        transfer?.takeIf { it.key == VersionKey(query.model, query.version) }?.isOriginDown ?: false
+
     private companion object {
         const val FIRST_VERSION = 1L
         const val NO_LOAD = -1L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/PieceLinks.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/PieceLinks.kt
@@ -68,11 +68,10 @@
 class PieceLinks(private val loop: NetLoop, private val port: Int) {
     private val links = HashMap<VmId, Link>()
 
-    /** Asks [vm] for a piece; null when it has none or does not answer. */
+    /** Asks [vm] for a piece; empty when it has none yet, null when it does not answer. */
     suspend fun fetch(vm: VmId, query: PieceQuery): PieceReply? {
         val link = links.getOrPut(vm) { Link(vm) }
         return withTimeoutOrNull(FETCH_TIMEOUT_MILLIS) { link.ask(query) }
-            ?.takeIf { it.bytes.isNotEmpty() }
     }
 
     private inner class Link(private val vm: VmId) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/UploadPacer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/UploadPacer.kt
@@ -25,6 +25,6 @@
         const val MILLIS_PER_SECOND = 1000.0
 
         // Answers of an engine take about 6% of the slowest link; the rest is for bursts of them.
-        const val SHARE = 0.75
+        const val SHARE = 0.9
     }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
@@ -17,6 +17,7 @@
 import org.toucanspur.core.weights.ExchangeEffect
 import org.toucanspur.core.weights.ExchangeLimits
 import org.toucanspur.core.weights.ExchangePlanner
+import org.toucanspur.core.weights.FetchFailure
 import org.toucanspur.core.weights.PieceManifest
 import org.toucanspur.core.weights.PieceOrigin
 import org.toucanspur.daemon.log.DecisionLog
@@ -60,6 +61,9 @@
     val progress: Pair<Int, Int>
         get() = (planner?.heldCount ?: 0) to (parts.library.manifest(key)?.digests?.size ?: 0)
 
+    /** Whether the origin failed at the last attempt to import from it. */
+    val isOriginDown: Boolean get() = planner?.isStoreDown ?: false
+
     /** Runs until all pieces are here. */
     suspend fun run(scope: CoroutineScope) {
         parts.log.event(EventCode.RELEASE_FETCH_STARTED) {
@@ -105,7 +109,8 @@
         val peers = members.all.filter { it != parts.self }
         if (peers.isEmpty()) return null
         val query = PieceQuery(key.model, key.version, MANIFEST_INDEX)
-        val reply = parts.links.fetch(peers[attempt % peers.size], query) ?: return null
+        val reply = parts.links.fetch(peers[attempt % peers.size], query)
+            ?.takeIf { it.bytes.isNotEmpty() } ?: return null
         return Json.decodeFromString<PieceManifest>(reply.bytes.decodeToString())
     }
 
@@ -194,27 +199,40 @@
     }
 
     private suspend fun fetch(current: ExchangePlanner, index: Int, source: ChunkSource) {
-        val bytes = when (source) {
+        val reply = when (source) {
             is ChunkSource.Store ->
-                origin.piece(key.model, key.version, index).getOrElse { null }
-            is ChunkSource.Peer ->
-                parts.links.fetch(source.vm, PieceQuery(key.model, key.version, index))?.bytes
+                FetchedPiece(origin.piece(key.model, key.version, index).getOrElse { null })
+            is ChunkSource.Peer -> {
+                val answer = parts.links.fetch(source.vm, PieceQuery(key.model, key.version, index))
+                FetchedPiece(answer?.bytes, answer?.isCutOff ?: false)
+            }
         }
         val now = monotonicMillis()
-        if (bytes != null && parts.library.put(key, index, bytes)) {
+        if (reply.bytes != null && parts.library.put(key, index, reply.bytes)) {
             current.onVerified(index, now)
             onPiece(index)
             return
         }
         val sourceName = if (source is ChunkSource.Peer) source.vm.value else "origin"
         failures.merge(sourceName, 1, Int::plus)
-        if (bytes != null) {
+        if (reply.failure == FetchFailure.CORRUPT) {
             parts.log.event(EventCode.CHUNK_CORRUPT, isEssential = false) {
                 put("piece", index)
                 put("source", sourceName)
             }
         }
-        current.onFailed(index, corrupt = bytes != null, now)
+        current.onFailed(index, reply.failure, now)
+    }
+
+    // What a source gave: no bytes when it did not answer, empty ones when it has none.
+    private class FetchedPiece(val bytes: ByteArray?, val isCutOff: Boolean = false) {
+        val failure: FetchFailure
+            get() = when {
+                bytes == null -> FetchFailure.UNREACHABLE
+                bytes.isNotEmpty() -> FetchFailure.CORRUPT
+                isCutOff -> FetchFailure.CUT_OFF
+                else -> FetchFailure.NOT_YET
+            }
     }
 
     private suspend fun fetchAndPlan(
@@ -246,10 +264,12 @@
             // Most of these wait for another region's importer.
             importsMax = 6,
             importTimeoutMillis = 1000,
-            importRetryMillis = 500,
+            importRetryMillis = 250,
             fetchTimeoutMillis = 3000,
             importFetchTimeoutMillis = 3000,
-            chokeMillis = 500
+            chokeMillis = 500,
+            // Agents tell what they hold ten times a second.
+            silenceMillis = 1000
         )
     }
 }
@@ -265,5 +285,5 @@
     } else {
         library.get(key, query.index)
     }
-    return bytes?.let { PieceReply(query.model, query.version, query.index, it) }
+    return bytes?.let { PieceReply(query.model, query.version, query.index, it, isCutOff = false) }
 }
