Step in for a stalled importer after 600 ms; one copy of the limits of the piece exchange

The planner's knowledge of an outage keeps its second of grace, which the stall's limit had served for too. The limits were written twice, in the agent and in the replay; they are one function now.

--- a/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/ExchangePlanner.kt
@@ -88,7 +88,7 @@
     private val presence = Presence(self, limits.silenceMillis, startMillis)
     private var lastExpiryMillis = startMillis
     private var storeRetryMillis = startMillis
-    private var storeFailedMillis = startMillis - limits.importTimeoutMillis
+    private var storeFailedMillis = startMillis - OUTAGE_GRACE_MILLIS
     private var remoteRetryMillis = startMillis
     private var heldRank = 0
     private var heldRankUntilMillis = startMillis
@@ -244,7 +244,7 @@
             pace.excuse(nowMillis)
             // An outage of the weight store is no fault of the importer, which may be the last to
             // notice its end.
-            val isOutage = isStoreDown || nowMillis < storeFailedMillis + limits.importTimeoutMillis
+            val isOutage = isStoreDown || nowMillis < storeFailedMillis + OUTAGE_GRACE_MILLIS
             if (isOutage) return
         }
         duties.avoid(importer, nowMillis + AVOIDED_MILLIS)
@@ -403,6 +403,9 @@
         const val PERCENT = 100
         const val REMOTE_ATTEMPTS_MAX = 2
 
+        // Importers notice the end of an outage with their next attempt.
+        const val OUTAGE_GRACE_MILLIS = 1000L
+
         // An importer of another region that does not answer is left out for this long.
         const val AVOIDED_MILLIS = 3000L
     }
--- a/core/src/test/kotlin/org/toucanspur/core/weights/OriginOutageTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/weights/OriginOutageTest.kt
@@ -34,7 +34,7 @@
     }
     private val all = regions.flatten()
     private val planners = all.associateWith { vm ->
-        ExchangePlanner(ReleaseDigest("m/2"), vm, PIECES, limits, 0).apply {
+        ExchangePlanner(ReleaseDigest("m/2"), vm, PIECES, pieceExchangeLimits(2), 0).apply {
             setMembers(regions.first { vm in it })
             setHome(all, directShare = 0.0)
         }
@@ -131,22 +131,6 @@
         val bitmap = planners.getValue(vm).bitmap()
         return index / 8 < bitmap.size && (bitmap[index / 8].toInt() shr (index % 8)) and 1 == 1
     }
-
-    private companion object {
-        val limits = ExchangeLimits(
-            neighbours = 12,
-            fetchesMax = 2,
-            fetchesPerPeerMax = 1,
-            importsMax = 6,
-            storeFetchesMax = 2,
-            importTimeoutMillis = 1000,
-            importRetryMillis = 250,
-            fetchTimeoutMillis = 3000,
-            importFetchTimeoutMillis = 3000,
-            chokeMillis = 500,
-            silenceMillis = 1000
-        )
-    }
 }
 
 class OriginOutageTest :
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
@@ -15,11 +15,11 @@
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.weights.ChunkSource
 import org.toucanspur.core.weights.ExchangeEffect
-import org.toucanspur.core.weights.ExchangeLimits
 import org.toucanspur.core.weights.ExchangePlanner
 import org.toucanspur.core.weights.FetchFailure
 import org.toucanspur.core.weights.PieceManifest
 import org.toucanspur.core.weights.PieceOrigin
+import org.toucanspur.core.weights.pieceExchangeLimits
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.schema.PieceQuery
@@ -116,7 +116,7 @@
 
     private fun begin(manifest: PieceManifest) {
         val release = ReleaseDigest("${key.model.value}/${key.version}")
-        val limits = LIMITS.copy(storeFetchesMax = storeFetchesMax())
+        val limits = pieceExchangeLimits(storeFetchesMax())
         val created =
             ExchangePlanner(release, parts.self, manifest.digests.size, limits, startMillis)
         created.addHeld(parts.library.held(key))
@@ -253,24 +253,6 @@
         const val PERCENT = 100
         const val STORE_FETCHES_MAX = 2
         const val FIRST_STATUS_MILLIS = 120L
-
-        // A version has to be everywhere within seconds, so that a stalled import is taken over
-        // after one.
-        val LIMITS = ExchangeLimits(
-            neighbours = 12,
-            // Pieces on their way to a VM queue before the requests to its endpoint.
-            fetchesMax = 2,
-            fetchesPerPeerMax = 1,
-            // Most of these wait for another region's importer.
-            importsMax = 6,
-            importTimeoutMillis = 1000,
-            importRetryMillis = 250,
-            fetchTimeoutMillis = 3000,
-            importFetchTimeoutMillis = 3000,
-            chokeMillis = 500,
-            // Agents tell what they hold ten times a second.
-            silenceMillis = 1000
-        )
     }
 }
 
