Number load orders; take the reload signal from the first moment

Cause (orders): an operator may require that load orders carry rising numbers; ours had none, so that no weights would ever load there. Change: each order carries a number from the wall clock that only rises; a refusal for too low a number, after a former life with a later clock, raises it by an hour and doubles the step. The handler is now the first thing a process installs; a signal within the start of the JVM itself still ends it.

--- a/core/src/main/kotlin/org/toucanspur/core/weights/WeightPieces.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/WeightPieces.kt
@@ -97,6 +97,17 @@
     CUT
 }
 
+/** An order to load the staged pieces of [model] as [version]. */
+data class LoadOrder(
+    val model: ModelId,
+    val version: Long,
+    /** Orders that the endpoint has begun by its last report; it refuses this one otherwise. */
+    val ordersExpected: Long,
+    val running: RunningRequests,
+    /** Rises with each order; an endpoint may refuse one that is lower than another it has seen. */
+    val fencingNumber: Long
+)
+
 /** Control of the endpoint on the own VM. */
 interface EngineControl {
     /** The present report. */
@@ -111,11 +122,6 @@
     /** Stages a piece, replacing what is there. */
     suspend fun stage(model: ModelId, index: Int, bytes: ByteArray): Result<Unit, WeightFailure>
 
-    /** Orders the staged pieces to be loaded as [version], after the running requests or now. */
-    suspend fun load(
-        model: ModelId,
-        version: Long,
-        ordersExpected: Long,
-        running: RunningRequests
-    ): Result<OrderReply, WeightFailure>
+    /** Gives [order], which begins after the running requests or now. */
+    suspend fun load(order: LoadOrder): Result<OrderReply, WeightFailure>
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
@@ -12,10 +12,13 @@
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.weights.EngineControl
 import org.toucanspur.core.weights.EngineReport
+import org.toucanspur.core.weights.FencingNumbers
+import org.toucanspur.core.weights.LoadOrder
 import org.toucanspur.core.weights.OrderReply
 import org.toucanspur.core.weights.RunningRequests
 import org.toucanspur.core.weights.WeightFailure
 import org.toucanspur.daemon.log.DecisionLog
+import org.toucanspur.daemon.wallMillis
 
 /** Loads versions into one engine; confined to the event loop. */
 class EngineLoader(
@@ -25,6 +28,7 @@
 ) {
     private var stagedKey: VersionKey? = null
     private val staged = HashSet<Int>()
+    private val fences = FencingNumbers(::wallMillis)
 
     // There is one staged copy for each model: a piece of another version that is staged between
     // the check and the order would be loaded with the rest.
@@ -63,15 +67,20 @@
         for (index in 0 until pieces) {
             if (!ensureStaged(key, index)) return false
         }
-        val reply = engine.load(key.model, key.version, report.ordersBegun, running)
+        val fence = fences.next()
+        val reply = engine.load(
+            LoadOrder(key.model, key.version, report.ordersBegun, running, fence)
+        )
         log.event(EventCode.LOAD_ORDERED) {
             put("model", key.model.value)
             put("version", key.version)
             put("ordersExpected", report.ordersBegun)
             put("running", running.name)
+            put("fencingNumber", fence)
             put("reply", reply.fold({ it.name }, WeightFailure::message))
         }
         val outcome = reply.getOrElse { return false }
+        if (outcome == OrderReply.FENCED) fences.onFenced()
         if (outcome != OrderReply.BEGUN && outcome != OrderReply.IN_EFFECT) {
             log.event(EventCode.LOAD_REFUSED) { put("reply", outcome.name) }
             return false
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/node/PlatformDaemon.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/node/PlatformDaemon.kt
@@ -27,6 +27,8 @@
 
 /** Runs the process whose settings are at [path] until it is told to end. */
 fun runPlatformDaemon(path: String) {
+    // Without a handler the signal of a reload would end a process that is just starting.
+    Signal.handle(Signal("HUP")) { }
     val settings = readNodeSettings(path) ?: exitProcess(EXIT_USAGE)
     val log = DecisionLog(settings.node.vm)
     val loop = NetLoop()
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/engine/EngineLoaderTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/engine/EngineLoaderTest.kt
@@ -16,9 +16,9 @@
 import org.toucanspur.core.platform.HttpFailure
 import org.toucanspur.core.weights.EngineControl
 import org.toucanspur.core.weights.EngineReport
+import org.toucanspur.core.weights.LoadOrder
 import org.toucanspur.core.weights.OrderReply
 import org.toucanspur.core.weights.PieceManifest
-import org.toucanspur.core.weights.RunningRequests
 import org.toucanspur.core.weights.WeightFailure
 import org.toucanspur.core.weights.sha256Hex
 import org.toucanspur.daemon.log.DecisionLog
@@ -33,6 +33,9 @@
     val copy = HashMap<Int, ByteArray>()
     val loads = mutableListOf<Pair<Long, List<String>>>()
     var reply = OrderReply.BEGUN
+
+    /** Lowest number of an order that the engine takes. */
+    var fence = 0L
     var isDown = false
 
     private suspend fun <T> answer(value: () -> T): Result<T, WeightFailure> {
@@ -53,13 +56,9 @@
     override suspend fun stage(model: ModelId, index: Int, bytes: ByteArray) =
         answer<Unit> { copy[index] = bytes }
 
-    override suspend fun load(
-        model: ModelId,
-        version: Long,
-        ordersExpected: Long,
-        running: RunningRequests
-    ) = answer {
-        loads += version to copy.toSortedMap().values.map { it.decodeToString() }
+    override suspend fun load(order: LoadOrder) = answer {
+        if (order.fencingNumber < fence) return@answer OrderReply.FENCED
+        loads += order.version to copy.toSortedMap().values.map { it.decodeToString() }
         reply
     }
 }
@@ -119,6 +118,17 @@
                 runBlocking { EngineLoader(engine, library, log).load(key, report) } shouldBe false
                 engine.loads.shouldBeEmpty()
             }
+            it("is given again above the number of a former life with a later clock") {
+                val library = PieceLibrary()
+                val key = library.fill(2)
+                val engine = FakeEngine()
+                engine.fence = System.currentTimeMillis() + 60_000
+                val loader = EngineLoader(engine, library, log)
+                runBlocking {
+                    loader.load(key, report) shouldBe false
+                    loader.load(key, report) shouldBe true
+                }
+            }
             it("tells when the engine's state has changed") {
                 val library = PieceLibrary()
                 val key = library.fill(2)
