--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/ObjectStoreService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/ObjectStoreService.kt
@@ -5,44 +5,30 @@
 package org.toucanspur.standin.platform
 
 import com.sun.net.httpserver.HttpExchange
-import com.sun.net.httpserver.HttpServer
-import java.net.InetSocketAddress
-import java.util.concurrent.ExecutorService
-import java.util.concurrent.Executors
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlinx.serialization.json.Json
 
-private const val OK = 200
 private const val GONE = 410
-private const val UNAVAILABLE = 503
 
 private class Change(val revision: Long, val kind: String, val name: String, val isRemoved: Boolean)
 
 /** The store on a loopback port. */
-class ObjectStoreService : AutoCloseable {
+class ObjectStoreService : LoopbackService() {
     private val lock = ReentrantLock()
     private val changed = lock.newCondition()
     private val objects = HashMap<String, LinkedHashMap<String, String>>()
     private val history = ArrayList<Change>()
     private var revision = 1L
     private var firstRevision = 1L
-    private val workers: ExecutorService = Executors.newCachedThreadPool { task ->
-        Thread(task).apply { isDaemon = true }
-    }
-    private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
 
     /** Whether all calls are turned away. */
     @Volatile
     var isDown = false
 
-    /** HOST:PORT of the store. */
-    val address: String get() = "127.0.0.1:${server.address.port}"
-
     init {
-        server.executor = workers
-        server.createContext("/v1/objects/", ::serve)
-        server.start()
+        handle("/v1/objects/", ::serve)
+        listen()
     }
 
     /** Creates or replaces an object; [content] is JSON. */
@@ -74,7 +60,7 @@
         changed.signalAll()
     }
 
-    private fun serve(exchange: HttpExchange) = exchange.use {
+    private fun serve(exchange: HttpExchange) {
         val kind = exchange.requestURI.path.substringAfterLast('/')
         val query = exchange.requestURI.query.orEmpty().split('&')
             .filter { '=' in it }
@@ -120,17 +106,8 @@
             """"specification":$content,"status":null}"""
     }
 
-    private fun answer(exchange: HttpExchange, status: Int, body: String) {
-        val bytes = body.encodeToByteArray()
-        exchange.responseHeaders.add("Content-Type", "application/json")
-        exchange.sendResponseHeaders(status, bytes.size.toLong())
-        exchange.responseBody.write(bytes)
-    }
-
-    override fun close() {
-        server.stop(0)
-        workers.shutdownNow()
-    }
+    private fun answer(exchange: HttpExchange, status: Int, body: String) =
+        exchange.answer(status, body.encodeToByteArray(), "Content-Type" to "application/json")
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
