Give Netty a machine id, so that a start does not look through the network interfaces

Cause: each start wrote a line of plain text among the JSON lines: Netty looks for a hardware address, finds none and says so. Change: a random id in its place. The line is gone in a start of both roles. Time and processor time of the start were not compared: the machine was busy.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NetLoop.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NetLoop.kt
@@ -22,6 +22,7 @@
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import jdk.net.ExtendedSocketOptions
+import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -35,8 +36,18 @@
 private const val KEEPALIVE_SECONDS = 1
 private const val KEEPALIVE_PROBES = 2
 
+// Netty derives ids of channels from the hardware address, and looks through all network interfaces
+// for it at each start. A random one serves as well.
+private const val MACHINE_ID = "io.netty.machineId"
+private const val MACHINE_ID_BYTES = 8
+
 /** One event loop with its coroutine scope. */
 class NetLoop {
+    init {
+        val id = Random.nextBytes(MACHINE_ID_BYTES).joinToString(":") { "%02x".format(it) }
+        System.setProperty(MACHINE_ID, System.getProperty(MACHINE_ID) ?: id)
+    }
+
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
     /** The loop's single executor. */
