Order no load across a restart of the engine; do not count a turned-away send as a run

Cause (loads): the pieces are read back one by one right before the order. An engine that began another life in the middle of that had lost those that were checked already, and the number of orders that the order expects is 0 in both lives. Change: the report is read again after the check, and another life of the engine ends the attempt. Test: EngineLoaderTest "lost its copy in the middle of the check". The route limits the endpoints that run a request. Change: a send that is turned away may be followed by another, out of the retry budget, three times at most. Tests: ResendPolicyTest "a request that an endpoint did not run".

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/ResendPolicy.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/ResendPolicy.kt
@@ -4,14 +4,25 @@
  */
 package org.toucanspur.core.gateway
 
+/** How a send ended without an answer for the caller. */
+enum class SendOutcome {
+    /** No endpoint was reached. */
+    UNREACHED,
+
+    /** The endpoint turned the request away and did not run it. */
+    TURNED_AWAY,
+
+    /** The endpoint may have run the request. */
+    MAY_HAVE_RUN
+}
+
 /** What has become of a request so far. */
 data class SendHistory(
-    /** Sends that reached an endpoint. */
+    /** Sends after which an endpoint may have run the request. */
     val sends: Int,
-    /** Attempts to connect that reached none. */
+    /** Sends that reached no endpoint or were turned away. */
     val missed: Int,
-    /** Whether the last endpoint may have run the request. */
-    val wasRun: Boolean,
+    val last: SendOutcome,
     /** Whether the caller has part of an answer. */
     val isCommitted: Boolean
 )
@@ -32,9 +43,12 @@
 fun resendAfterFailure(route: TrafficRoute, history: SendHistory): Resend {
     val isResumable = route.kind == CallKind.STREAM && route.isResumable
     return when {
-        history.sends == 0 -> if (history.missed <= MISSED_MAX) Resend.FREE else Resend.NEVER
+        history.missed > MISSED_MAX -> Resend.NEVER
+        // The route limits the endpoints that run a request; the budget counts what they turn away.
+        history.last == SendOutcome.TURNED_AWAY -> Resend.IN_BUDGET
+        history.sends == 0 -> Resend.FREE
         history.sends >= route.endpointsMax -> Resend.NEVER
-        history.wasRun && !route.isRepeatable -> Resend.NEVER
+        history.last == SendOutcome.MAY_HAVE_RUN && !route.isRepeatable -> Resend.NEVER
         history.isCommitted && !isResumable -> Resend.NEVER
         else -> Resend.IN_BUDGET
     }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/ResendPolicyTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/ResendPolicyTest.kt
@@ -13,15 +13,16 @@
         fun history(
             sends: Int = 1,
             missed: Int = 0,
-            wasRun: Boolean = true,
+            last: SendOutcome = SendOutcome.MAY_HAVE_RUN,
             isCommitted: Boolean = false
-        ) = SendHistory(sends, missed, wasRun, isCommitted)
+        ) = SendHistory(sends, missed, last, isCommitted)
 
         describe("a request that has reached no endpoint") {
             it("is tried again whatever its kind, a few times") {
+                val last = SendOutcome.UNREACHED
                 listOf(plain, once, stream).forEach {
-                    resendAfterFailure(it, history(0, 3, wasRun = false)) shouldBe Resend.FREE
-                    resendAfterFailure(it, history(0, 4, wasRun = false)) shouldBe Resend.NEVER
+                    resendAfterFailure(it, history(0, 3, last)) shouldBe Resend.FREE
+                    resendAfterFailure(it, history(0, 4, last)) shouldBe Resend.NEVER
                 }
             }
         }
@@ -37,8 +38,16 @@
             }
         }
         describe("a request that an endpoint did not run") {
+            val last = SendOutcome.TURNED_AWAY
             it("is sent again also when it may run once only") {
-                resendAfterFailure(once, history(wasRun = false)) shouldBe Resend.IN_BUDGET
+                resendAfterFailure(once, history(0, 1, last)) shouldBe Resend.IN_BUDGET
+                val single = route("/1/", kind = CallKind.AT_MOST_ONCE, endpointsMax = 1)
+                resendAfterFailure(single, history(0, 1, last)) shouldBe Resend.IN_BUDGET
+            }
+            it("does not count for its route's limit, but is sent a few times only") {
+                val resumed = history(2, 1, last, isCommitted = true)
+                resendAfterFailure(stream, resumed) shouldBe Resend.IN_BUDGET
+                resendAfterFailure(stream, resumed.copy(missed = 4)) shouldBe Resend.NEVER
             }
         }
         describe("an answer that the caller has in part") {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
@@ -67,6 +67,10 @@
         for (index in 0 until pieces) {
             if (!ensureStaged(key, index)) return false
         }
+        // An endpoint that began another life meanwhile has lost what was checked before, and its
+        // count of orders begins at the same number.
+        val now = engine.report().getOrElse { return false }
+        if (now.startedAtMillis != report.startedAtMillis) return false
         val fence = fences.next()
         val reply = engine.load(
             LoadOrder(key.model, key.version, report.ordersBegun, running, fence)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -16,6 +16,7 @@
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.core.gateway.Organisation
 import org.toucanspur.core.gateway.RequestCodec
+import org.toucanspur.core.gateway.SendOutcome
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
 import org.toucanspur.core.gateway.WaitingCall
@@ -28,8 +29,8 @@
     /** Reads and writes headers. */
     val codec: RequestCodec
 
-    /** The call may go to another endpoint; [wasRun] when the last one may have run it. */
-    fun onSendFailed(call: Call, wasRun: Boolean, reason: String)
+    /** A send has ended with [outcome]; the call may go to another endpoint. */
+    fun onSendFailed(call: Call, outcome: SendOutcome, reason: String)
 
     /** The answer of the endpoint is complete. */
     fun onAnswered(call: Call, status: Int)
@@ -63,11 +64,11 @@
     /** Endpoints that the call was sent to. */
     val tried = LinkedHashSet<EndpointId>()
 
-    /** Sends that reached an endpoint. */
+    /** Sends after which an endpoint may have run the call. */
     var sends = 0
         private set
 
-    /** Attempts to connect that reached no endpoint. */
+    /** Sends that reached no endpoint or were turned away. */
     var missed = 0
         private set
 
@@ -133,14 +134,14 @@
     /** Takes the call away from its endpoint, which counts as a run. */
     fun withdraw() {
         exchange?.cancel()
-        noteSent(true)
+        noteSent(SendOutcome.MAY_HAVE_RUN)
         release()
     }
 
-    private fun noteSent(wasSent: Boolean) {
+    private fun noteSent(outcome: SendOutcome) {
         val target = endpoint ?: return
         tried += target.record.id
-        if (wasSent) sends++ else missed++
+        if (outcome == SendOutcome.MAY_HAVE_RUN) sends++ else missed++
     }
 
     private fun release() {
@@ -158,7 +159,7 @@
         isOver = true
         deadlineTimer?.cancel(false)
         exchange?.cancel()
-        if (exchange != null) noteSent(true)
+        if (exchange != null) noteSent(SendOutcome.MAY_HAVE_RUN)
         release()
     }
 
@@ -201,25 +202,24 @@
 
     private fun onNotRun(status: Int) {
         val sign = if (status == MISDIRECTED) EndpointSign.REPLACED else EndpointSign.FULL
-        drop(sign, wasSent = true)
-        host.onSendFailed(this, wasRun = false, "endpoint answered $status without running it")
+        val reason = "endpoint answered $status without running it"
+        drop(sign, SendOutcome.TURNED_AWAY, reason)
     }
 
     private fun onServerError(status: Int) {
-        drop(EndpointSign.ERROR, wasSent = true)
-        host.onSendFailed(this, wasRun = true, "endpoint answered $status")
+        drop(EndpointSign.ERROR, SendOutcome.MAY_HAVE_RUN, "endpoint answered $status")
     }
 
     private fun onBroken(reason: String) {
-        drop(EndpointSign.BROKEN, wasSent = true)
-        host.onSendFailed(this, wasRun = true, reason)
+        drop(EndpointSign.BROKEN, SendOutcome.MAY_HAVE_RUN, reason)
     }
 
-    private fun drop(sign: EndpointSign, wasSent: Boolean) {
+    private fun drop(sign: EndpointSign, outcome: SendOutcome, reason: String) {
         exchange?.cancel()
         endpoint?.let { host.onSign(this, it, sign) }
-        noteSent(wasSent)
+        noteSent(outcome)
         release()
+        host.onSendFailed(this, outcome, reason)
     }
 
     override fun onBody(exchange: EndpointExchange, bytes: ByteArray) {
@@ -268,7 +268,7 @@
         }
         val response = head
         val status = response?.status()?.code() ?: OK
-        noteSent(true)
+        noteSent(SendOutcome.MAY_HAVE_RUN)
         release()
         finish(response, status)
     }
@@ -288,8 +288,8 @@
 
     override fun onFailure(exchange: EndpointExchange, wasSent: Boolean, reason: String) {
         if (exchange !== this.exchange) return
-        drop(EndpointSign.BROKEN, wasSent)
-        host.onSendFailed(this, wasRun = wasSent, reason)
+        val outcome = if (wasSent) SendOutcome.MAY_HAVE_RUN else SendOutcome.UNREACHED
+        drop(EndpointSign.BROKEN, outcome, reason)
     }
 
     /** Reads from the endpoint only as fast as the caller does. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -16,6 +16,7 @@
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.Resend
 import org.toucanspur.core.gateway.SendHistory
+import org.toucanspur.core.gateway.SendOutcome
 import org.toucanspur.core.gateway.WaitPolicy
 import org.toucanspur.core.gateway.WaitingCalls
 import org.toucanspur.core.gateway.resendAfterFailure
@@ -178,7 +179,7 @@
             endpointHead(call.request, facts, codec),
             call.request.body
         )
-        val isAgain = call.sends > 0
+        val isAgain = call.sends + call.missed > 0
         if (isAgain) metrics.repeated.increment()
         log.event(
             if (isResumed) EventCode.REQUEST_RESUMED else EventCode.REQUEST_DISPATCHED,
@@ -193,7 +194,7 @@
             put("reportAgeMillis", endpoint.reportAgeMillis(now))
             endpoint.nextLoadMillis(now)?.let { put("nextLoadMillis", it) }
             put("configuration", state.configuration?.version ?: 0)
-            if (isAgain) put("send", call.sends + 1)
+            if (isAgain) put("send", call.sends + call.missed + 1)
         }
         call.predictedMillis = placement.firstByteMillis
         call.send(endpoint, EndpointExchange(loop, request, call), CONNECT_TIMEOUT_MILLIS)
@@ -257,23 +258,22 @@
         return state.allowance(call.service.id).hasRoom(now, state.entries(now))
     }
 
-    override fun onSendFailed(call: Call, wasRun: Boolean, reason: String) {
+    override fun onSendFailed(call: Call, outcome: SendOutcome, reason: String) {
         if (call.isOver) return
-        val wasSent = call.sends > 0
         log.event(EventCode.REQUEST_FAILED) {
             put("request", call.id.value)
             put("endpoint", call.tried.lastOrNull()?.value ?: "")
             put("reason", reason)
-            put("wasRun", wasRun)
+            put("outcome", outcome.name)
             put("sends", call.sends)
         }
-        val history = SendHistory(call.sends, call.missed, wasRun, call.isCommitted)
+        val history = SendHistory(call.sends, call.missed, outcome, call.isCommitted)
         val mayGoOn = when (resendAfterFailure(call.route, history)) {
             Resend.FREE -> true
             Resend.IN_BUDGET -> takeFromBudget(call, monotonicMillis())
             Resend.NEVER -> false
         }
-        call.mayHaveRun = call.mayHaveRun || (wasRun && wasSent)
+        call.mayHaveRun = call.mayHaveRun || outcome == SendOutcome.MAY_HAVE_RUN
         if (mayGoOn) placeOrWait(call, isFirst = false) else fail(call, reason)
     }
 
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/engine/EngineLoaderTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/engine/EngineLoaderTest.kt
@@ -47,11 +47,20 @@
         }
     }
 
-    override suspend fun report() = answer { report }
+    /** Runs at each reading of a staged piece. */
+    var onRead: (Int) -> Unit = {}
+    var startedAtMillis = report.startedAtMillis
+
+    override suspend fun report() = answer {
+        org.toucanspur.daemon.engine.report.copy(startedAtMillis = startedAtMillis)
+    }
 
     override suspend fun stagedIndexes(model: ModelId) = answer { copy.keys.toSet() }
 
-    override suspend fun staged(model: ModelId, index: Int) = answer { copy[index] }
+    override suspend fun staged(model: ModelId, index: Int) = answer {
+        onRead(index)
+        copy[index]
+    }
 
     override suspend fun stage(model: ModelId, index: Int, bytes: ByteArray) =
         answer<Unit> { copy[index] = bytes }
@@ -129,6 +138,19 @@
                     loader.load(key, report) shouldBe true
                 }
             }
+            it("is not given when the engine lost its copy in the middle of the check") {
+                val library = PieceLibrary()
+                val key = library.fill(2)
+                val engine = FakeEngine()
+                engine.onRead = { index ->
+                    if (index == 2 && engine.startedAtMillis == report.startedAtMillis) {
+                        engine.copy.clear()
+                        engine.startedAtMillis++
+                    }
+                }
+                runBlocking { EngineLoader(engine, library, log).load(key, report) } shouldBe false
+                engine.loads.shouldBeEmpty()
+            }
             it("tells when the engine's state has changed") {
                 val library = PieceLibrary()
                 val key = library.fill(2)
