Soak: list a replaced endpoint again, say what is wrong with loaded weights, note the faults' times

An entry counts as new with another name now. The verdict on loaded weights names the pieces; faults.txt has the times of the logs.

--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakEndpoint.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakEndpoint.kt
@@ -32,7 +32,7 @@
     private val clock: () -> Long
 ) : AutoCloseable {
     private val isChanging = AtomicBoolean()
-    private var listed = ""
+    private var listed = "" to ""
 
     @Volatile
     private var life: Life? = begin(loaded = 1)
@@ -57,8 +57,10 @@
         val number = lives.incrementAndGet()
         val name = "i-$index-$number"
         val observer = RunObserver { arrival, version -> record(number, arrival, version) }
-        val loads = LoadObserver { version, isWhole ->
-            if (!isWhole) ledger.onBroken("incomplete weights", "$name loads version $version")
+        val loads = LoadObserver { version, wrong ->
+            if (wrong.isNotEmpty()) {
+                ledger.onBroken("incomplete weights", "$name loads version $version: $wrong")
+            }
         }
         val service = if (isEngine) {
             ModelEngineService(name, SOAK_MODEL, loaded, observer, loads)
@@ -89,8 +91,8 @@
         val entry = """{"service":"$service","address":"$host:$ENDPOINT_PORT","zone":"z",""" +
             """"version":"v1","slots":12,"state":"${current.state}","cold-remaining-ms":0,""" +
             """"sequence":1${models.orEmpty()}}"""
-        if (entry != listed) store.put("servers", current.name, entry)
-        listed = entry
+        if (current.name to entry != listed) store.put("servers", current.name, entry)
+        listed = current.name to entry
     }
 
     /** Dies, stays away for [awayMillis], and begins a new life; the list learns it late. */
--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakRun.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakRun.kt
@@ -5,6 +5,7 @@
 package org.toucanspur.bench.soak
 
 import java.net.InetSocketAddress
+import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicLong
@@ -110,6 +111,7 @@
             background { listEndpoints() }
             Thread.sleep(START_MILLIS)
             val startMillis = nowMillis()
+            noteFaults()
             val callers = List(CALLERS) { index -> background { callUntilOver(index) } }
             val faults = plan.map { background { play(it, startMillis) } }
             faults.forEach { it.join() }
@@ -125,6 +127,13 @@
         }
     }
 
+    // With the times that the processes' logs have.
+    private fun noteFaults() {
+        val startMillis = System.currentTimeMillis()
+        val lines = plan.map { "${startMillis + it.atMillis} $it" }
+        Files.write(directory.resolve("faults.txt"), lines)
+    }
+
     private fun killAll() = processes.forEach { it.signal("KILL") }
 
     private fun background(action: () -> Unit) = thread(isDaemon = true) { action() }
--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/ModelEngineService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/ModelEngineService.kt
@@ -25,8 +25,8 @@
 
 /** Notes what an engine loads. */
 fun interface LoadObserver {
-    /** The engine begins to load [version] from its staged copy. */
-    fun onLoad(version: Long, isWhole: Boolean)
+    /** The engine begins to load [version] from a copy in which the pieces [wrong] are wrong. */
+    fun onLoad(version: Long, wrong: List<String>)
 }
 
 /** The engine [name], which serves [loaded] at its start; 0 for no weights. */
@@ -124,10 +124,7 @@
         orders++
         loadingVersion = version
         loadedVersion = 0
-        val isWhole = (0 until PIECES).all {
-            staged[it]?.contentEquals(weightPiece(version, it)) ?: false
-        }
-        loads.onLoad(version, isWhole)
+        loads.onLoad(version, (0 until PIECES).mapNotNull { faultOf(version, it) })
         thread(isDaemon = true) {
             Thread.sleep(LOAD_MILLIS)
             synchronized(lock) {
@@ -138,6 +135,13 @@
         return ACCEPTED
     }
 
+    private fun faultOf(version: Long, index: Int): String? {
+        val bytes = staged[index] ?: return "$index is missing"
+        if (bytes.contentEquals(weightPiece(version, index))) return null
+        val other = (1..version).firstOrNull { bytes.contentEquals(weightPiece(it, index)) }
+        return other?.let { "$index is of version $it" } ?: "$index is spoilt"
+    }
+
     private fun stream(exchange: HttpExchange) {
         val version = loadedVersion
         val isBehind = version < (exchange.header("X-Expected-Version")?.toLong() ?: 0)
