--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -88,7 +88,7 @@
         val current = report
         val isOlder = current != null &&
             current.vm == changed.vm &&
-            nowMillis - reportMillis < REPORT_FRESH_MILLIS &&
+            nowMillis - reportMillis < freshMillis(current) &&
             changed.sequence <= current.sequence
         if (isOlder) return
         report = changed
@@ -106,7 +106,10 @@
 
     /** The report, while it is fresh enough to act on. */
     fun freshReport(nowMillis: Long): LoadReport? =
-        report.takeIf { nowMillis - reportMillis < REPORT_FRESH_MILLIS }
+        report?.takeIf { nowMillis - reportMillis < freshMillis(it) }
+
+    private fun freshMillis(report: LoadReport): Long =
+        maxOf(REPORT_FRESH_MILLIS, report.periodMillis * PERIODS_FRESH)
 
     /** Age of the last report, or -1 without one. */
     fun reportAgeMillis(nowMillis: Long): Long = if (report ==
@@ -187,7 +190,8 @@
             ?.let { maxOf(0, reportMillis + it - nowMillis) }
 
     private companion object {
-        // Agents report every 100 ms, so that four may be lost.
+        // Reports are datagrams, of which some may be lost.
+        const val PERIODS_FRESH = 4
         const val REPORT_FRESH_MILLIS = 500L
         const val COLD_WINDOW_MILLIS = 1000L
 
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/GatewayFixture.kt
@@ -61,7 +61,8 @@
     isLoading: Boolean = false,
     pacePercent: Int = 100,
     entryIndex: Int = 0,
-    nextLoadMillis: Long = -1
+    nextLoadMillis: Long = -1,
+    periodMillis: Long = 100
 ) = LoadReport(
     VmId("vm"),
     0,
@@ -72,6 +73,7 @@
     isLoading,
     nextLoadMillis,
     pacePercent,
+    periodMillis,
     entries = 4,
     entryIndex = entryIndex
 )
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -157,7 +157,7 @@
             val answer = engine.report()
             answer.fold(::onReport) { onEngineLost(it.message) }
             pushReport()
-            delay(if (isLoading) REPORT_LOADING_MILLIS else REPORT_MILLIS)
+            delay(if (isLoading) REPORT_LOADING_MILLIS else reporter.periodMillis)
         }
     }
 
@@ -387,7 +387,6 @@
         const val FIRST_VERSION = 1L
         const val NO_LOAD = -1L
         const val WAIT_MILLIS = 10_000L
-        const val REPORT_MILLIS = 100L
 
         // The end of a load is waited for by all entries.
         const val REPORT_LOADING_MILLIS = 50L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
@@ -5,6 +5,7 @@
 package org.toucanspur.daemon.engine
 
 import java.net.InetSocketAddress
+import org.toucanspur.core.gateway.reportPeriodMillis
 import org.toucanspur.core.weights.EngineReport
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.Datagrams
@@ -19,8 +20,8 @@
     private var last: LoadReport? = null
     private var lastMillis = 0L
 
-    /** Entries that asked lately. */
-    val entries: Int get() = subscribers.size
+    /** Time between two reports while the load changes. */
+    val periodMillis: Long get() = reportPeriodMillis(subscribers.size)
 
     /** Notes that an entry asks for reports. */
     fun onQuery(from: InetSocketAddress) {
@@ -42,10 +43,11 @@
             isLoading = isLoading || report == null,
             nextLoadMillis = nextLoadMillis,
             pacePercent = report?.pacePercent ?: USUAL_PACE,
+            periodMillis = periodMillis,
             entries = subscribers.size,
             entryIndex = 0
         )
-        if (next == last && now - lastMillis < IDLE_MILLIS) return
+        if (next == last && now - lastMillis < maxOf(IDLE_MILLIS, 2 * periodMillis)) return
         last = next.copy(sequence = sequence + 1)
         sequence++
         lastMillis = now
