--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
@@ -70,7 +70,10 @@
         // An endpoint that began another life meanwhile has lost what was checked before, and its
         // count of orders begins at the same number.
         val now = engine.report().getOrElse { return false }
-        if (now.startedAtMillis != report.startedAtMillis) return false
+        if (now.startedAtMillis != report.startedAtMillis) {
+            log.event(EventCode.LOAD_REFUSED) { put("reply", "the engine has started again") }
+            return false
+        }
         val fence = fences.next()
         val reply = engine.load(
             LoadOrder(key.model, key.version, report.ordersBegun, running, fence)
