Pass clock readings to the version gate

Preparation without a change in behaviour: the gate gets both clocks of the VM instead of the monotonic one alone. Ages are still taken from the monotonic clock.

VersionGateTest passes with the same bounds.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -24,16 +24,16 @@
 class VersionGate(private val boundMillis: Long) {
     private val targets = HashMap<ModelId, ArrayDeque<TargetVersion>>()
 
-    /** Records that [version] is set as a target version of [model], observed at [nowMillis]. */
+    /** Records that [version] is set as a target version of [model]; its bound starts at [since]. */
     fun onTargetVersion(
         model: ModelId,
         version: Long,
-        nowMillis: Long,
+        since: ClockReading,
         discovery: VersionDiscovery = VersionDiscovery.NEW
     ) {
         val versions = targets.getOrPut(model) { ArrayDeque() }
         if (versions.isNotEmpty() && versions.last().version >= version) return
-        versions.addLast(TargetVersion(version, nowMillis, discovery))
+        versions.addLast(TargetVersion(version, since, discovery))
         while (versions.size > TARGET_VERSIONS_MAX) versions.removeFirst()
     }
 
@@ -41,16 +41,16 @@
     fun newest(model: ModelId): Long = targets[model]?.lastOrNull()?.version ?: 0
 
     /**
-     * Lowest version on which a request for [model] may start at [nowMillis]; 0 for any.
+     * Lowest version on which a request for [model] may start at [now]; 0 for any.
      * [loadedMax] is the highest version that an endpoint has loaded.
      */
-    fun versionMin(model: ModelId?, nowMillis: Long, loadedMax: Long): Long {
+    fun versionMin(model: ModelId?, now: ClockReading, loadedMax: Long): Long {
         if (boundMillis <= 0 || model == null) return 0
-        return targets[model]?.lastOrNull { isRequired(it, nowMillis, loadedMax) }?.version ?: 0
+        return targets[model]?.lastOrNull { isRequired(it, now, loadedMax) }?.version ?: 0
     }
 
-    private fun isRequired(target: TargetVersion, nowMillis: Long, loadedMax: Long): Boolean {
-        val ageMillis = nowMillis - target.discoveredMillis
+    private fun isRequired(target: TargetVersion, now: ClockReading, loadedMax: Long): Boolean {
+        val ageMillis = now.monotonicMillis - target.since.monotonicMillis
         return ageMillis >= boundMillis - MARGIN_MILLIS ||
             when (target.discovery) {
                 VersionDiscovery.NEW -> false
@@ -62,7 +62,7 @@
 
     private class TargetVersion(
         val version: Long,
-        val discoveredMillis: Long,
+        val since: ClockReading,
         val discovery: VersionDiscovery
     )
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -148,7 +148,7 @@
     private fun versionMin(call: Call, nowMillis: Long): Long {
         val loadedMax =
             state.fleet.of(call.service.id).maxOfOrNull { it.loadedVersion(nowMillis) ?: 0 } ?: 0
-        return state.versions.versionMin(call.metadata.model, nowMillis, loadedMax)
+        return state.versions.versionMin(call.metadata.model, systemClocks.now(), loadedMax)
     }
 
     private fun allowedRegions(call: Call): Set<RegionId>? {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -85,7 +85,7 @@
             dispatcher.onLoadChanged()
         }
         val versions = WeightVersionListener(log, listingAge) { target, age ->
-            state.versions.onTargetVersion(target.model, target.version, monotonicMillis(), age)
+            state.versions.onTargetVersion(target.model, target.version, systemClocks.now(), age)
         }
         watches += startWatch(ObjectKind.ENDPOINTS, WATCH_MILLIS, endpoints, BATCH_DELAY_MILLIS)
         watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, EvacuationListener(state, log))
