Age target versions on the wall clock too

Callers got responses from an old weight version after its bound: an entry whose VM was suspended after it had learned of a version counted the suspension as zero, because the monotonic clock stands still meanwhile.

The gate now takes the larger age of the two clocks, as the freshness of keys does. A wall clock that is set forward makes the version required early at that entry; one that is set back does not make it required later.

Evidence: VersionGateTest 'ages, although the monotonic clock stands still' failed before (expected 2, was 0) and passes now.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -50,7 +50,7 @@
     }
 
     private fun isRequired(target: TargetVersion, now: ClockReading, loadedMax: Long): Boolean {
-        val ageMillis = now.monotonicMillis - target.since.monotonicMillis
+        val ageMillis = now.ageMillis(target.since)
         return ageMillis >= boundMillis - MARGIN_MILLIS ||
             when (target.discovery) {
                 VersionDiscovery.NEW -> false
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
@@ -40,6 +40,17 @@
                 gate.versionMin(model, at(6800), loadedMax = 1) shouldBe 2
             }
         }
+        describe("a target version while the VM is suspended") {
+            val gate = VersionGate(boundMillis = 8000)
+            gate.onTargetVersion(model, 2, ClockReading(0, 50_000))
+            it("ages, although the monotonic clock stands still") {
+                gate.versionMin(model, ClockReading(1800, 56_799), loadedMax = 1) shouldBe 0
+                gate.versionMin(model, ClockReading(1801, 56_800), loadedMax = 1) shouldBe 2
+            }
+            it("does not get younger when the wall clock is set back") {
+                gate.versionMin(model, ClockReading(6800, 52_000), loadedMax = 1) shouldBe 2
+            }
+        }
         describe("requests without a model") {
             it("require no version") { VersionGate(8000).versionMin(null, at(0), 0) shouldBe 0 }
         }
