Keep the bound of target versions that are no longer listed

More than eight versions set within one bound dropped the oldest ones together with their bounds, so that requests could start on a version that none of the dropped bounds allowed.

The second oldest version now takes over the bound of the oldest one.

Evidence: VersionGateTest 'leave their bound to a newer version' failed before (expected 5, was 0) and passes now. No deployment sets versions that fast; found by reading.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -34,7 +34,14 @@
         val versions = targets.getOrPut(model) { ArrayDeque() }
         if (versions.isNotEmpty() && versions.last().version >= version) return
         versions.addLast(TargetVersion(version, since, discovery))
-        while (versions.size > TARGET_VERSIONS_MAX) versions.removeFirst()
+        while (versions.size > TARGET_VERSIONS_MAX) mergeOldest(versions)
+    }
+
+    // The second oldest version takes over the bound of the oldest one.
+    private fun mergeOldest(versions: ArrayDeque<TargetVersion>) {
+        val oldest = versions.removeFirst()
+        val next = versions.removeFirst()
+        versions.addFirst(TargetVersion(next.version, oldest.since, oldest.discovery))
     }
 
     /** The newest target version of [model], or 0 when there is none. */
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
@@ -51,6 +51,13 @@
                 gate.versionMin(model, ClockReading(6800, 52_000), loadedMax = 1) shouldBe 2
             }
         }
+        describe("target versions beyond those that are kept") {
+            val gate = VersionGate(boundMillis = 8000)
+            (2L..12L).forEach { gate.onTargetVersion(model, it, at(it * 100)) }
+            it("leave their bound to a newer version") {
+                gate.versionMin(model, at(7000), loadedMax = 1) shouldBe 5
+            }
+        }
         describe("requests without a model") {
             it("require no version") { VersionGate(8000).versionMin(null, at(0), 0) shouldBe 0 }
         }
