Log pauses of a process and steps of its clocks (E104)

Requests began on an old weight version after the bound. The logs did not show whether the entry had been stopped, its VM suspended or its wall clock stepped while it measured the age of a target version on the monotonic clock alone.

PauseDetector compares consecutive readings of both clocks. Entries and engine agents observe them every 100 ms and log E104 with the length of the gap on each clock. No decision changes.

Evidence: PauseDetectorTest, PauseMonitorTest and EventCatalogueTest pass.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -9,6 +9,7 @@
     STOPPING(101, "graceful shutdown began"),
     STOPPED(102, "graceful shutdown ended"),
     RELOADED(103, "settings reloaded"),
+    PROCESS_PAUSED(104, "process was paused or its clock stepped"),
     DOCUMENT_ADOPTED(200, "document revision adopted"),
     DOCUMENT_REJECTED(201, "stored document is invalid and was ignored"),
     OBJECT_API_UNAVAILABLE(202, "object API call failed"),
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -33,6 +33,7 @@
 import org.toucanspur.daemon.gateway.LoggingWatchListener
 import org.toucanspur.daemon.gateway.ObjectWatchListener
 import org.toucanspur.daemon.gateway.ObjectWatcher
+import org.toucanspur.daemon.gateway.PauseMonitor
 import org.toucanspur.daemon.gateway.ProbeServer
 import org.toucanspur.daemon.gateway.WeightVersionListener
 import org.toucanspur.daemon.gateway.systemClocks
@@ -87,6 +88,7 @@
         ::sendStatus
     )
     private val regions = zoneRegions(settings)
+    private val pauses = PauseMonitor(systemClocks, log)
 
     private var configuration: TrafficConfiguration? = null
     private var peers: Map<VmId, RegionId?> = emptyMap()
@@ -104,6 +106,7 @@
         get() = configuration?.services?.get(settings.engine.service)?.models?.firstOrNull()?.id
 
     override fun start() {
+        pauses.start(loop)
         PieceServer(loop, ::onQuery)
             .start(InetSocketAddress(settings.node.host, settings.addresses.peerPort))
         val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -51,11 +51,13 @@
     )
     private val loadSubscriber = LoadSubscriber(loop, state, dispatcher::onLoadChanged)
     private val listingAge = ListingAgeTracker { state.listedKinds += ObjectKind.WEIGHT_VERSIONS }
+    private val pauses = PauseMonitor(systemClocks, log)
     private val watches = mutableListOf<Job>()
     private var isStopping = false
     private var areKeysAccepted = false
 
     override fun start() {
+        pauses.start(loop)
         val configuration = ConfigurationListener(state, log, ::restartWatches)
         startWatch(ObjectKind.CONFIGURATION, CONFIGURATION_WATCH_MILLIS, configuration)
         startLongPollWatches()
