Pass the start of the unseen time to watch listeners

Preparation without a change in behaviour: listeners of the store's objects are told after which time a change was made. For now that is the time at which it is handled.

ObjectWatcherTest passes.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -19,6 +19,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.VersionDiscovery
 import org.toucanspur.core.platform.ObjectChange
@@ -136,9 +137,10 @@
     }
 
     private inner class ConfigurationReader : LoggingWatchListener(ObjectKind.CONFIGURATION, log) {
-        override fun onListing(objects: List<StoredObject>) = objects.forEach(::adopt)
+        override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) =
+            objects.forEach(::adopt)
 
-        override fun onChanges(changes: List<ObjectChange>) =
+        override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) =
             changes.filterNot { it.isRemoved }.forEach { adopt(it.stored) }
 
         private fun adopt(stored: StoredObject) = decodeConfiguration(stored.text.orEmpty()).fold(
@@ -149,11 +151,19 @@
         )
     }
 
-    private fun onTargetVersionSet(version: TargetVersion, age: VersionDiscovery) {
+    private fun onTargetVersionSet(
+        version: TargetVersion,
+        since: ClockReading,
+        age: VersionDiscovery
+    ) {
         val versions = targetVersions.getOrPut(version.model) { ArrayDeque() }
         if (versions.isNotEmpty() && versions.last().first >= version.version) return
-        val ageMillis =
-            if (age == VersionDiscovery.NEW) 0 else settings.bounds.versionMillis.toLong()
+        val boundMillis = settings.bounds.versionMillis.toLong()
+        val ageMillis = if (age == VersionDiscovery.NEW) {
+            systemClocks.now().ageMillis(since).coerceIn(0, boundMillis)
+        } else {
+            boundMillis
+        }
         versions.addLast(version.version to monotonicMillis() - ageMillis)
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -86,8 +86,8 @@
             loadSubscriber.sendQueries()
             dispatcher.onLoadChanged()
         }
-        val versions = WeightVersionListener(log, listingAge) { target, age ->
-            state.versions.onTargetVersion(target.model, target.version, systemClocks.now(), age)
+        val versions = WeightVersionListener(log, listingAge) { target, since, age ->
+            state.versions.onTargetVersion(target.model, target.version, since, age)
         }
         watches += startWatch(ObjectKind.ENDPOINTS, WATCH_MILLIS, endpoints, BATCH_DELAY_MILLIS)
         watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, EvacuationListener(state, log))
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -19,11 +19,14 @@
 
 /** Receives the results of an [ObjectWatcher]. */
 interface ObjectWatchListener {
-    /** Called with all objects of the kind after each listing. */
-    fun onListing(objects: List<StoredObject>)
+    /**
+     * Called with all objects of the kind after each listing. Objects that were not known before
+     * were changed after [unseenSince].
+     */
+    fun onListing(objects: List<StoredObject>, unseenSince: ClockReading)
 
-    /** Called with the changes since the previous listing or change. */
-    fun onChanges(changes: List<ObjectChange>)
+    /** Called with the changes since the previous listing or change, made after [unseenSince]. */
+    fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading)
 
     /** Called when all changes acknowledged before [at] have been delivered. */
     fun onUpToDate(at: ClockReading) = Unit
@@ -64,7 +67,7 @@
     private suspend fun list(): FeedFailure? {
         val at = clocks.now()
         val listing = feed.list(kind).getOrElse { return it }
-        listener.onListing(listing.objects)
+        listener.onListing(listing.objects, clocks.now())
         revision = listing.storeRevision
         listener.onUpToDate(at)
         return null
@@ -77,7 +80,7 @@
             feed.watch(kind, afterRevision, waitMillis)
         } ?: return FeedFailure.Unavailable("watch timed out")
         val changes = result.getOrElse { return it }
-        if (changes.changes.isNotEmpty()) listener.onChanges(changes.changes)
+        if (changes.changes.isNotEmpty()) listener.onChanges(changes.changes, clocks.now())
         revision = maxOf(afterRevision, changes.storeRevision)
         listener.onUpToDate(if (changes.changes.isEmpty()) confirmedAt(at) else at)
         if (changes.changes.isNotEmpty()) delay(batchDelayMillis)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -42,9 +42,10 @@
     log: DecisionLog,
     private val restartWatches: () -> Unit
 ) : LoggingWatchListener(ObjectKind.CONFIGURATION, log) {
-    override fun onListing(objects: List<StoredObject>) = objects.forEach(::adopt)
+    override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) =
+        objects.forEach(::adopt)
 
-    override fun onChanges(changes: List<ObjectChange>) =
+    override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) =
         changes.filterNot { it.isRemoved }.forEach { adopt(it.stored) }
 
     override fun onUpToDate(at: ClockReading) = state.freshness.renew(at)
@@ -81,13 +82,13 @@
     log: DecisionLog,
     private val onChanged: () -> Unit
 ) : LoggingWatchListener(ObjectKind.ENDPOINTS, log) {
-    override fun onListing(objects: List<StoredObject>) {
+    override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) {
         state.fleet.replaceAll(objects.mapNotNull(::decode), monotonicMillis())
         log.event(EventCode.ENDPOINT_LISTED) { put("listed", objects.size) }
         onChanged()
     }
 
-    override fun onChanges(changes: List<ObjectChange>) {
+    override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) {
         changes.forEach { if (it.isRemoved) remove(it.stored.name) else upsert(it.stored) }
         onChanged()
     }
@@ -137,14 +138,14 @@
 /** Maintains the set of evacuated availability zones. */
 class EvacuationListener(private val state: GatewayState, log: DecisionLog) :
     LoggingWatchListener(ObjectKind.EVACUATIONS, log) {
-    override fun onListing(objects: List<StoredObject>) {
+    override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) {
         state.listedKinds += ObjectKind.EVACUATIONS
         val listed = objects.map { ZoneId(it.name) }.toSet()
         (state.evacuatedZones - listed).forEach(::reinstate)
         (listed - state.evacuatedZones).forEach(::evacuate)
     }
 
-    override fun onChanges(changes: List<ObjectChange>) = changes.forEach {
+    override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) = changes.forEach {
         val zone = ZoneId(it.stored.name)
         if (it.isRemoved) reinstate(zone) else evacuate(zone)
     }
@@ -166,24 +167,25 @@
 class WeightVersionListener(
     log: DecisionLog,
     private val listingAge: ListingAgeTracker,
-    private val onTargetVersion: (TargetVersion, VersionDiscovery) -> Unit
+    private val onTargetVersion: (TargetVersion, ClockReading, VersionDiscovery) -> Unit
 ) : LoggingWatchListener(ObjectKind.WEIGHT_VERSIONS, log) {
-    override fun onListing(objects: List<StoredObject>) {
+    override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) {
         val age = listingAge.next()
-        objects.forEach { adopt(it, age) }
+        objects.forEach { adopt(it, unseenSince, age) }
     }
 
-    override fun onChanges(changes: List<ObjectChange>) =
-        changes.filterNot { it.isRemoved }.forEach { adopt(it.stored, VersionDiscovery.NEW) }
+    override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) =
+        changes.filterNot { it.isRemoved }
+            .forEach { adopt(it.stored, unseenSince, VersionDiscovery.NEW) }
 
-    private fun adopt(stored: StoredObject, age: VersionDiscovery) {
+    private fun adopt(stored: StoredObject, since: ClockReading, age: VersionDiscovery) {
         val target = decodeTargetVersion(stored) ?: return
         log.event(EventCode.VERSION_NAMED) {
             put("model", target.model.value)
             put("version", target.version)
             put("age", age.name)
         }
-        onTargetVersion(target, age)
+        onTargetVersion(target, since, age)
     }
 }
 
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -52,11 +52,11 @@
     val callbacks = mutableListOf<String>()
     var upToDateAtMillis = -1L
 
-    override fun onListing(objects: List<StoredObject>) {
+    override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) {
         callbacks += "listing ${objects.size}"
     }
 
-    override fun onChanges(changes: List<ObjectChange>) {
+    override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) {
         callbacks += "changes ${changes.size}"
     }
 
