Count the bound of a target version from the time at which it was last known not to be set

Callers got responses from an old weight version after its bound. An entry that was paused while the version was set, or whose watch had gone silent, counted the bound from the moment at which it handled the change: late by the pause. Where the agents were paused as well, their endpoints still held the old version and accepted the requests.

A change now dates back to the last time at which it was known not to exist: its arrival on a call that was waiting for it, the start of the first pause since the call began, or the last confirmation when the call returned it immediately, as after a silent connection or a restarted watch. Time in which the store cannot be reached for over a second does not count. The watch of versions waits for 2 s in place of 10 s, which bounds how much older than true a version may be taken. Agents schedule their loads by the same age, so that one that learns late loads at once.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/PauseDetector.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/PauseDetector.kt
@@ -32,12 +32,15 @@
  * Compares consecutive readings of the clocks. A gap of at least [thresholdMillis], or a difference
  * of that size between the clocks, is a pause; observations have to be much more frequent.
  */
-class PauseDetector(private val thresholdMillis: Long = THRESHOLD_MILLIS) {
+class PauseDetector(private val thresholdMillis: Long = THRESHOLD_MILLIS) : PauseHistory {
     private var previous: ClockReading? = null
+    private val pauses = ArrayDeque<Pause>()
 
     /** The most recent pause; null before the first one. */
-    var latest: Pause? = null
-        private set
+    val latest: Pause? get() = pauses.lastOrNull()
+
+    override fun firstPauseSince(reading: ClockReading): ClockReading? =
+        pauses.firstOrNull { it.endedAt.monotonicMillis > reading.monotonicMillis }?.startedAt
 
     /** Returns the pause that ended at [now], or null if the process ran since the last call. */
     fun observe(now: ClockReading): Pause? {
@@ -52,11 +55,13 @@
         val isPause = pause.monotonicMillis >= thresholdMillis ||
             abs(pause.clockShiftMillis) >= thresholdMillis
         if (!isPause) return null
-        latest = pause
+        pauses.addLast(pause)
+        if (pauses.size > PAUSES_MAX) pauses.removeFirst()
         return pause
     }
 
     private companion object {
         const val THRESHOLD_MILLIS = 400L
+        const val PAUSES_MAX = 32
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/WatchProgress.kt
@@ -0,0 +1,59 @@
+/*
+ * Determines after which time the changes of watched objects were made. A change usually arrives as
+ * soon as it is made. It arrives late after a pause of this process or on a connection that has
+ * gone silent, and its age then counts from the last time at which it was known not to exist.
+ */
+package org.toucanspur.core.gateway
+
+/** Pauses of the process. */
+fun interface PauseHistory {
+    /** Start of the first pause that ended after [reading], or null if there is none. */
+    fun firstPauseSince(reading: ClockReading): ClockReading?
+}
+
+/** Progress of the watch of one kind of object, across its calls. Not thread-safe. */
+class WatchProgress(private val pauses: PauseHistory = PauseHistory { null }) {
+    private var knownUntil: ClockReading? = null
+    private var outageStart: ClockReading? = null
+
+    /** Returns the time after which the changes of a call were made that ran until [now]. */
+    fun unseenSince(callStart: ClockReading, now: ClockReading): ClockReading {
+        val uninterruptedEnd = pauses.firstPauseSince(callStart) ?: now
+        val waitedMillis = uninterruptedEnd.monotonicMillis - callStart.monotonicMillis
+        // The store returns existing changes immediately, so a call that has waited proves that
+        // there were none.
+        return if (waitedMillis >= PROMPT_MILLIS) uninterruptedEnd else knownUntil ?: callStart
+    }
+
+    /** Records that all changes made before [at] have been delivered. */
+    fun onUpToDate(at: ClockReading) {
+        outageStart = null
+        advance(at)
+    }
+
+    /**
+     * Records that a call failed at [at]. Time in which the store cannot be reached does not count
+     * towards the age of a change; a single failure may be due to its connection only.
+     */
+    fun onFailure(at: ClockReading) {
+        val start = outageStart
+        if (start == null) {
+            outageStart = at
+        } else if (at.monotonicMillis - start.monotonicMillis >= OUTAGE_MILLIS) {
+            advance(at)
+        }
+    }
+
+    private fun advance(at: ClockReading) {
+        val known = knownUntil
+        if (known == null || at.monotonicMillis > known.monotonicMillis) knownUntil = at
+    }
+
+    private companion object {
+        // The store responds within a few milliseconds unless it is disturbed.
+        const val PROMPT_MILLIS = 300L
+
+        // Longer than a retry on a new connection takes.
+        const val OUTAGE_MILLIS = 1000L
+    }
+}
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -22,6 +22,7 @@
 import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.VersionDiscovery
+import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.ObjectChange
 import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.core.platform.StoredObject
@@ -129,7 +130,15 @@
     }
 
     private fun followKind(kind: ObjectKind, sink: ObjectWatchListener) = loop.scope.launch {
-        ObjectWatcher(store, kind, WATCH_WAIT_MILLIS, systemClocks, random, sink).run()
+        ObjectWatcher(
+            store,
+            kind,
+            WATCH_WAIT_MILLIS,
+            systemClocks,
+            random,
+            sink,
+            progress = WatchProgress(pauses)
+        ).run()
     }
 
     override suspend fun shutdown() {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.ObjectFeed
 import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.daemon.log.DecisionLog
@@ -52,6 +53,7 @@
     private val loadSubscriber = LoadSubscriber(loop, state, dispatcher::onLoadChanged)
     private val listingAge = ListingAgeTracker { state.listedKinds += ObjectKind.WEIGHT_VERSIONS }
     private val pauses = PauseMonitor(systemClocks, log)
+    private val versionProgress = WatchProgress(pauses)
     private val watches = mutableListOf<Job>()
     private var isStopping = false
     private var areKeysAccepted = false
@@ -75,10 +77,19 @@
         kind: ObjectKind,
         waitMillis: Long,
         listener: ObjectWatchListener,
-        batchDelayMillis: Long = 0
+        batchDelayMillis: Long = 0,
+        progress: WatchProgress = WatchProgress()
     ): Job = loop.scope.launch {
-        ObjectWatcher(store, kind, waitMillis, systemClocks, random, listener, batchDelayMillis)
-            .run()
+        ObjectWatcher(
+            store,
+            kind,
+            waitMillis,
+            systemClocks,
+            random,
+            listener,
+            batchDelayMillis,
+            progress
+        ).run()
     }
 
     private fun startLongPollWatches() {
@@ -91,7 +102,12 @@
         }
         watches += startWatch(ObjectKind.ENDPOINTS, WATCH_MILLIS, endpoints, BATCH_DELAY_MILLIS)
         watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, EvacuationListener(state, log))
-        watches += startWatch(ObjectKind.WEIGHT_VERSIONS, WATCH_MILLIS, versions)
+        watches += startWatch(
+            ObjectKind.WEIGHT_VERSIONS,
+            VERSION_WATCH_MILLIS,
+            versions,
+            progress = versionProgress
+        )
     }
 
     // A watch whose connection an outage has stalled would fail only at the end of its wait, so
@@ -143,6 +159,9 @@
         // TCP keepalive detects a dead connection before this wait ends.
         const val WATCH_MILLIS = 10_000L
 
+        // A version that arrives after a failed watch is assumed to be as old as that watch.
+        const val VERSION_WATCH_MILLIS = 2000L
+
         // Well below the shortest time after which a draining endpoint must get no more requests.
         const val BATCH_DELAY_MILLIS = 250L
         const val FRESHNESS_CHECK_MILLIS = 100L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
+import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.FeedFailure
 import org.toucanspur.core.platform.ObjectChange
 import org.toucanspur.core.platform.ObjectFeed
@@ -40,7 +41,8 @@
 
 /**
  * Watches objects of [kind]; each watch call waits for up to [waitMillis]. After changes the next
- * call is delayed by [batchDelayMillis], so that a burst of changes needs few calls.
+ * call is delayed by [batchDelayMillis], so that a burst of changes needs few calls. A watch that
+ * replaces another one continues its [progress].
  */
 class ObjectWatcher(
     private val feed: ObjectFeed,
@@ -49,7 +51,8 @@
     private val clocks: ClockPair,
     private val random: Random,
     private val listener: ObjectWatchListener,
-    private val batchDelayMillis: Long = 0
+    private val batchDelayMillis: Long = 0,
+    private val progress: WatchProgress = WatchProgress()
 ) {
     private var revision: Long? = null
     private var backoffMillis = BACKOFF_MIN_MILLIS
@@ -67,9 +70,9 @@
     private suspend fun list(): FeedFailure? {
         val at = clocks.now()
         val listing = feed.list(kind).getOrElse { return it }
-        listener.onListing(listing.objects, clocks.now())
+        listener.onListing(listing.objects, progress.unseenSince(at, clocks.now()))
         revision = listing.storeRevision
-        listener.onUpToDate(at)
+        onUpToDate(at)
         return null
     }
 
@@ -80,13 +83,21 @@
             feed.watch(kind, afterRevision, waitMillis)
         } ?: return FeedFailure.Unavailable("watch timed out")
         val changes = result.getOrElse { return it }
-        if (changes.changes.isNotEmpty()) listener.onChanges(changes.changes, clocks.now())
+        val hasChanges = changes.changes.isNotEmpty()
+        if (hasChanges) {
+            listener.onChanges(changes.changes, progress.unseenSince(at, clocks.now()))
+        }
         revision = maxOf(afterRevision, changes.storeRevision)
-        listener.onUpToDate(if (changes.changes.isEmpty()) confirmedAt(at) else at)
-        if (changes.changes.isNotEmpty()) delay(batchDelayMillis)
+        onUpToDate(if (hasChanges) at else confirmedAt(at))
+        if (hasChanges) delay(batchDelayMillis)
         return null
     }
 
+    private fun onUpToDate(at: ClockReading) {
+        progress.onUpToDate(at)
+        listener.onUpToDate(at)
+    }
+
     // A watch without changes lasts for its whole wait; if it ends earlier, the store ended it and
     // only the time of its start is confirmed.
     private fun confirmedAt(start: ClockReading): ClockReading {
@@ -102,6 +113,7 @@
     }
 
     private suspend fun onFailure(failure: FeedFailure) {
+        progress.onFailure(clocks.now())
         if (failure == FeedFailure.HistoryGone) {
             revision = null
             return
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/PauseMonitor.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/PauseMonitor.kt
@@ -6,13 +6,15 @@
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.ClockPair
+import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.Pause
 import org.toucanspur.core.gateway.PauseDetector
+import org.toucanspur.core.gateway.PauseHistory
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.net.NettyEventLoop
 
 /** Observes [clocks] at a fixed rate; confined to the event loop. */
-class PauseMonitor(private val clocks: ClockPair, private val log: DecisionLog) {
+class PauseMonitor(private val clocks: ClockPair, private val log: DecisionLog) : PauseHistory {
     private val detector = PauseDetector()
 
     /** Starts observing on [loop]. */
@@ -32,6 +34,11 @@
         return latest.takeIf { clocks.now().ageMillis(it.endedAt) < RECENT_MILLIS }
     }
 
+    override fun firstPauseSince(reading: ClockReading): ClockReading? {
+        observe()
+        return detector.firstPauseSince(reading)
+    }
+
     private fun observe() {
         val pause = detector.observe(clocks.now()) ?: return
         log.event(EventCode.PROCESS_PAUSED) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -145,10 +145,11 @@
         (listed - state.evacuatedZones).forEach(::evacuate)
     }
 
-    override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) = changes.forEach {
-        val zone = ZoneId(it.stored.name)
-        if (it.isRemoved) reinstate(zone) else evacuate(zone)
-    }
+    override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) =
+        changes.forEach {
+            val zone = ZoneId(it.stored.name)
+            if (it.isRemoved) reinstate(zone) else evacuate(zone)
+        }
 
     private fun evacuate(zone: ZoneId) {
         if (state.evacuatedZones.add(zone)) {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -14,6 +14,8 @@
 import kotlinx.coroutines.test.runTest
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
+import org.toucanspur.core.gateway.PauseHistory
+import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.FeedFailure
 import org.toucanspur.core.platform.ObjectChange
 import org.toucanspur.core.platform.ObjectChanges
@@ -51,6 +53,7 @@
 private class RecordingListener : ObjectWatchListener {
     val callbacks = mutableListOf<String>()
     var upToDateAtMillis = -1L
+    var changedSinceMillis = -1L
 
     override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) {
         callbacks += "listing ${objects.size}"
@@ -58,6 +61,7 @@
 
     override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) {
         callbacks += "changes ${changes.size}"
+        changedSinceMillis = unseenSince.monotonicMillis
     }
 
     override fun onUpToDate(at: ClockReading) {
@@ -78,11 +82,26 @@
     Ok(ObjectChanges(emptyList(), 5))
 }
 
-private suspend fun TestScope.runWatcher(feed: ObjectFeed, millis: Long): RecordingListener {
+private val changed: suspend () -> Result<ObjectChanges, FeedFailure> = {
+    Ok(ObjectChanges(listOf(ObjectChange(StoredObject("b", 6, "{}"), isRemoved = false)), 6))
+}
+
+private suspend fun TestScope.runWatcher(
+    feed: ObjectFeed,
+    millis: Long,
+    pauses: PauseHistory = PauseHistory { null }
+): RecordingListener {
     val listener = RecordingListener()
     val clocks = ClockPair { ClockReading(testScheduler.currentTime, testScheduler.currentTime) }
-    val watcher =
-        ObjectWatcher(feed, ObjectKind.ENDPOINTS, WAIT_MILLIS, clocks, Random(1), listener)
+    val watcher = ObjectWatcher(
+        feed,
+        ObjectKind.ENDPOINTS,
+        WAIT_MILLIS,
+        clocks,
+        Random(1),
+        listener,
+        progress = WatchProgress(pauses)
+    )
     val job = backgroundScope.launch { watcher.run() }
     advanceTimeBy(millis)
     job.cancel()
@@ -132,6 +151,35 @@
                     feed.calls.last() shouldBe "watch 6"
                 }
             }
+            it("dates a change on a working connection to its arrival") {
+                runTest {
+                    val later: suspend () -> Result<ObjectChanges, FeedFailure> = {
+                        delay(700)
+                        changed()
+                    }
+                    runWatcher(ScriptedFeed(unchanged, later, unchanged), millis = 1800)
+                        .changedSinceMillis shouldBe 1700
+                }
+            }
+            it("dates a change behind a silent connection to the last confirmation") {
+                runTest {
+                    val silent: suspend () -> Result<ObjectChanges, FeedFailure> =
+                        { awaitCancellation() }
+                    val feed = ScriptedFeed(unchanged, silent, changed, unchanged)
+                    runWatcher(feed, millis = 3500).changedSinceMillis shouldBe 1000
+                }
+            }
+            it("dates a change that arrives after a pause of the process to its start") {
+                runTest {
+                    val late: suspend () -> Result<ObjectChanges, FeedFailure> = {
+                        delay(900)
+                        changed()
+                    }
+                    val pauses = PauseHistory { ClockReading(1400, 1400) }
+                    runWatcher(ScriptedFeed(unchanged, late, unchanged), millis = 2000, pauses)
+                        .changedSinceMillis shouldBe 1400
+                }
+            }
             it("times out when the store does not respond") {
                 runTest {
                     val unresponsive: suspend () -> Result<ObjectChanges, FeedFailure> =
