Withdraw requests that an endpoint has not started when a version is due

Callers got responses from an old weight version after its bound, without any disruption of the entry: a request was sent in time, without an expected version, and waited at its endpoint until after the bound. The margin of 1.2 s before the bound did not cover that wait.

300 ms before the bound of a version ends, an entry now takes back each request that an endpoint on an older version has not begun to answer, and sends it elsewhere where its route allows that. Responses that have begun continue.

Evidence: GatewayTest 'does not start on an older version after the bound while it is queued there' failed before (504 at the caller's deadline) and passes now.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -56,6 +56,17 @@
         return targets[model]?.lastOrNull { isRequired(it, now, loadedMax) }?.version ?: 0
     }
 
+    /**
+     * Highest version of [model] whose bound ends shortly after [now]; 0 when there is none. A
+     * request that has not started by then must not start on an older version.
+     */
+    fun versionDue(model: ModelId?, now: ClockReading): Long {
+        if (boundMillis <= 0 || model == null) return 0
+        return targets[model]
+            ?.lastOrNull { now.ageMillis(it.since) >= boundMillis - WITHDRAWAL_MILLIS }
+            ?.version ?: 0
+    }
+
     private fun isRequired(target: TargetVersion, now: ClockReading, loadedMax: Long): Boolean {
         val ageMillis = now.ageMillis(target.since)
         return ageMillis >= boundMillis - MARGIN_MILLIS ||
@@ -77,6 +88,9 @@
         // Covers the propagation of the version and the queueing time of a request at an endpoint.
         const val MARGIN_MILLIS = 1200L
 
+        // Time for a withdrawal to reach the endpoint before the bound ends.
+        const val WITHDRAWAL_MILLIS = 300L
+
         // Time allowed for endpoints to report their versions after a store outage.
         const val REPORT_WAIT_MILLIS = 500L
         const val TARGET_VERSIONS_MAX = 8
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
@@ -12,6 +12,11 @@
             gate.onTargetVersion(model, 2, at(10_000))
             gate.onTargetVersion(model, 3, at(12_000))
             it("is not required at first") { gate.versionMin(model, at(16_000), 3) shouldBe 0 }
+            it("is due for requests that wait at an endpoint just before its bound ends") {
+                gate.versionDue(model, at(17_699)) shouldBe 0
+                gate.versionDue(model, at(17_700)) shouldBe 2
+                gate.versionDue(model, at(19_700)) shouldBe 3
+            }
             it("is required shortly before its own bound ends") {
                 gate.versionMin(model, at(17_000), 3) shouldBe 2
                 gate.versionMin(model, at(18_799), 3) shouldBe 2
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -102,6 +102,10 @@
     /** Whether any endpoint may have executed the request. */
     var mayHaveExecuted = false
 
+    /** Lowest weight version on which the current attempt may start; 0 for any. */
+    var expectedVersion = 0L
+        private set
+
     /** Time to first byte predicted by the last placement. */
     var predictedMillis = 0.0
 
@@ -119,9 +123,19 @@
     /** Whether the call is currently at an endpoint. */
     val isSent: Boolean get() = exchange != null
 
-    /** Sends the call to [target] through [newExchange]. */
-    fun send(target: FleetEndpoint, newExchange: EndpointExchange, connectTimeoutMillis: Int) {
+    /** Whether the call is at an endpoint that has not begun its response. */
+    val isAwaitingResponse: Boolean
+        get() = exchange != null && responseHead == null && eventSplitter == null
+
+    /** Sends the call to [target] through [newExchange], to start on [version] or any if 0. */
+    fun send(
+        target: FleetEndpoint,
+        newExchange: EndpointExchange,
+        connectTimeoutMillis: Int,
+        version: Long
+    ) {
         endpoint = target
+        expectedVersion = version
         exchange = newExchange
         responseHead = null
         eventSplitter = null
@@ -138,6 +152,12 @@
         releaseEndpoint()
     }
 
+    /** Takes the call back from an endpoint that must not start it any more. */
+    fun withdraw(reason: String) {
+        cancelAttempt()
+        delegate.onAttemptFailed(this, AttemptOutcome.MAY_HAVE_RUN, reason)
+    }
+
     private fun recordAttempt(outcome: AttemptOutcome) {
         val target = endpoint ?: return
         tried += target.record.id
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -201,7 +201,8 @@
             if (isRetry) put("send", call.executedAttempts + call.unexecutedAttempts + 1)
         }
         call.predictedMillis = placement.firstByteMillis
-        call.send(endpoint, EndpointExchange(loop, request, call), CONNECT_TIMEOUT_MILLIS)
+        val exchange = EndpointExchange(loop, request, call)
+        call.send(endpoint, exchange, CONNECT_TIMEOUT_MILLIS, versionMin)
     }
 
     private fun refuseUnplaced(call: Call, placement: Placement) {
@@ -372,6 +373,7 @@
         val now = monotonicMillis()
         drainQueue()
         queue.removeExpired(now).forEach { onWaitExpired(it, now) }
+        activeCalls.filter { it.isAwaitingResponse }.forEach { checkVersion(it, now) }
         activeCalls.filter { it.isSent && it.route.isRepeatable }.forEach { checkStall(it, now) }
         state.fleet.expire(now).forEach {
             log.event(EventCode.ENDPOINT_REMOVED) { put("endpoint", it.value) }
@@ -405,6 +407,15 @@
         }
     }
 
+    // Load pattern: a request waits at a slow, overloaded or paused endpoint until the bound of a
+    // version ends that was not required yet when the request was sent.
+    private fun checkVersion(call: Call, nowMillis: Long) {
+        val due = state.versions.versionDue(call.metadata.model, systemClocks.now())
+        val loaded = call.endpoint?.loadedVersion(nowMillis) ?: 0
+        if (call.expectedVersion >= due || loaded >= due) return
+        call.withdraw("endpoint has not started it before version $due is due")
+    }
+
     // Load pattern: connections of a failed or unreachable endpoint stay open but carry no data. A
     // repeatable call is sent to another endpoint, but only to one with free capacity.
     private fun checkStall(call: Call, nowMillis: Long) {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -13,12 +13,15 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallerLimits
+import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.EndpointRecord
+import org.toucanspur.core.gateway.EngineTiming
 import org.toucanspur.core.gateway.Organisation
 import org.toucanspur.core.gateway.RouteTarget
 import org.toucanspur.core.gateway.TrafficConfiguration
@@ -26,12 +29,14 @@
 import org.toucanspur.core.gateway.TrafficService
 import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.daemon.log.DecisionLog
+import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.schema.AddressesSection
 import org.toucanspur.schema.BoundsSection
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.EngineSection
 import org.toucanspur.schema.LimitsSection
+import org.toucanspur.schema.ModelId
 import org.toucanspur.schema.NodeConfiguration
 import org.toucanspur.schema.NodeRole
 import org.toucanspur.schema.NodeSection
@@ -43,7 +48,11 @@
 import org.toucanspur.schema.ZoneId
 
 private const val CALL_SECONDS = 20
+private const val VERSION_BOUND_MILLIS = 8000
 private val service = ServiceId("s")
+private val engineService = ServiceId("engine")
+private val model = ModelId("m")
+private val engine = EngineTiming(8, 1.0, 0.1, 0.0, 30_000.0, 6, 100, 50, 100_000)
 
 private fun settings() = NodeConfiguration(
     NodeSection(NodeRole.ENTRY, VmId("vm"), "127.0.0.1", ZoneId("z"), RegionId("r"), "z:r"),
@@ -51,15 +60,20 @@
     StoreSection("127.0.0.1:1"),
     EngineSection("none", ServiceId("none")),
     LimitsSection(430, 4200, 1000.0),
-    BoundsSection(2000, 8, 60_000, 5000, 8000, 0.2, 10, 100, 5, 120)
+    BoundsSection(2000, 8, 60_000, 5000, VERSION_BOUND_MILLIS, 0.2, 10, 100, 5, 120)
 )
 
-private fun route(path: String, kind: CallKind, isResumable: Boolean = false) = TrafficRoute(
+private fun route(
+    path: String,
+    kind: CallKind,
+    isResumable: Boolean = false,
+    target: ServiceId = service
+) = TrafficRoute(
     name = path,
     host = "h",
     pathPrefix = path,
     kind = kind,
-    targets = listOf(RouteTarget(service, 1)),
+    targets = listOf(RouteTarget(target, 1)),
     timeoutMillis = CALL_SECONDS * 1000L,
     targetMillis = CALL_SECONDS * 1000L,
     eventGapTargetMillis = CALL_SECONDS * 1000L,
@@ -98,16 +112,25 @@
         listOf(
             route("/idempotent/", CallKind.IDEMPOTENT),
             route("/once/", CallKind.AT_MOST_ONCE),
-            route("/stream/", CallKind.STREAM, isResumable = true)
+            route("/stream/", CallKind.STREAM, isResumable = true),
+            route("/engine/", CallKind.STREAM, isResumable = true, engineService)
         ),
-        mapOf(service to TrafficService(service, "/health", 100, 0.0, null, emptyList(), null)),
+        listOf(
+            TrafficService(service, "/health", 100, 0.0, null, emptyList(), null),
+            TrafficService(engineService, "/health", 100, 0.0, engine, emptyList(), null)
+        ).associateBy { it.id },
         CallerLimits(16_384, 1000, 3000, 15_000),
         listOf(Organisation(OrganisationId("acme"), setOf("k"), null, emptySet()))
     )
 
-    private fun record(index: Int, port: Int) = EndpointRecord(
+    private fun record(
+        index: Int,
+        port: Int,
+        recordService: ServiceId = service,
+        versions: Map<ModelId, Long> = emptyMap()
+    ) = EndpointRecord(
         EndpointId("e$index"),
-        service,
+        recordService,
         "127.0.0.1",
         port,
         ZoneId("z"),
@@ -115,10 +138,29 @@
         slots = 8,
         isReady = true,
         coldRemainingMillis = 0,
-        loadedVersions = emptyMap(),
+        loadedVersions = versions,
         startedAtMillis = 0
     )
 
+    private fun onLoop(action: () -> Unit) = loop.executor.submit(action).get()
+
+    /** Lists an engine on [port] that has loaded [version]. */
+    fun addEngine(port: Int, version: Long) = onLoop {
+        val versions = mapOf(model to version)
+        state.fleet.put(record(port, port, engineService, versions), monotonicMillis())
+    }
+
+    /** Records that [version] was set as a target version [ageMillis] ago. */
+    fun setTargetVersion(version: Long, ageMillis: Long) = onLoop {
+        val now = systemClocks.now()
+        val since = ClockReading(now.monotonicMillis - ageMillis, now.wallMillis - ageMillis)
+        state.versions.onTargetVersion(model, version, since)
+    }
+
+    /** Sends a request for [model] and returns everything received until the connection closes. */
+    fun callEngine(path: String = "/engine/"): String =
+        call(path, extraHeaders = "Model: ${model.value}\r\n")
+
     /** Sends a request and returns everything received until the connection closes. */
     fun call(
         path: String,
@@ -283,7 +325,7 @@
                 val first = endpoint { request, socket ->
                     socket.respondWithEvents(request, listOf(event(1)), isComplete = false)
                     started.countDown()
-                    while (socket.getInputStream().read() >= 0) continue
+                    socket.awaitClose()
                     closed.countDown()
                 }
                 val gateway = TestGateway(listOf(first.port))
@@ -297,6 +339,37 @@
                 closed.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS) shouldBe true
             }
         }
+        describe("a request for a model with target versions") {
+            it("does not start on an older version after the bound while it is queued there") {
+                val isQueued = CountDownLatch(1)
+                val hasMoved = CountDownLatch(1)
+                val older = endpoint { request, socket ->
+                    if ("/begun" in request.requestLine) {
+                        socket.respondWithEvents(request, listOf(event(1)), isComplete = false)
+                        hasMoved.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
+                        socket.send("${event(2).length.toString(16)}\r\n${event(2)}\r\n0\r\n\r\n")
+                    } else {
+                        isQueued.countDown()
+                        socket.awaitClose()
+                    }
+                }
+                val newer = endpoint { request, socket ->
+                    hasMoved.countDown()
+                    socket.respondWithEvents(request, listOf(event(1)), isComplete = true)
+                }
+                val gateway = TestGateway(emptyList())
+                gateway.setTargetVersion(2, ageMillis = VERSION_BOUND_MILLIS - 3000L)
+                gateway.addEngine(older.port, version = 1)
+                val begun = CompletableFuture.supplyAsync { gateway.callEngine("/engine/begun") }
+                val queued = CompletableFuture.supplyAsync { gateway.callEngine("/engine/queued") }
+                isQueued.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS) shouldBe true
+                gateway.addEngine(newer.port, version = 2)
+                queued.get() shouldContain "token1"
+                // A stream that has begun is not moved.
+                begun.get() shouldContain "token2"
+                newer.received.size shouldBe 1
+            }
+        }
         describe("a connection") {
             it("serves pipelined requests") {
                 val first = endpoint { request, socket -> socket.respond(request, "fine") }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ScriptedEndpoint.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ScriptedEndpoint.kt
@@ -54,6 +54,15 @@
     override fun close() = listener.close()
 }
 
+/** Reads until the peer closes or resets the connection. */
+fun Socket.awaitClose() {
+    try {
+        while (getInputStream().read() >= 0) continue
+    } catch (_: java.net.SocketException) {
+        return
+    }
+}
+
 /** Writes [text] unchanged. */
 fun Socket.send(text: String) {
     getOutputStream().write(text.encodeToByteArray())
