Reset the connection of a cancelled request

A request that was withdrawn or whose caller had left could still start at an endpoint that was paused: an orderly close is read only after the request that precedes it.

An exchange is now cancelled with a reset, which also discards what the endpoint has not read.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpClientCodec
@@ -64,10 +65,15 @@
         future.addListener { if (it.isSuccess) send() else fail("not connected: ${it.cause()}") }
     }
 
-    /** Cancels the exchange by closing the connection. */
+    /**
+     * Cancels the exchange by resetting the connection. Unlike an orderly close, a reset also
+     * discards the request if the endpoint has not read it yet.
+     */
     fun cancel() {
         isDone = true
-        channel?.close()
+        val open = channel?.takeIf { it.isOpen } ?: return
+        open.config().setOption(ChannelOption.SO_LINGER, 0)
+        open.close()
     }
 
     /** Pauses or resumes reading of the response. */
