Show in E225 how late a target version may have been found

Requests began on an old weight version after the bound. E225 stated only whether the version came from a watch or a listing. It did not show whether the entry had heard from the store in the seconds before, or whether a version in between was never seen.

The listener of an entry is kept when its watches are restarted, so that the time covers the outage. No decision changes.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -120,7 +120,13 @@
         followKind(ObjectKind.CONFIGURATION, ConfigurationReader())
         followKind(
             ObjectKind.WEIGHT_VERSIONS,
-            WeightVersionListener(log, ListingAgeTracker(), ::onTargetVersionSet)
+            WeightVersionListener(
+                log,
+                systemClocks,
+                pauses,
+                ListingAgeTracker(),
+                ::onTargetVersionSet
+            )
         )
         loop.scope.launch { reportLoop() }
         loop.scope.launch { loadLoop() }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -52,6 +52,12 @@
     private val loadSubscriber = LoadSubscriber(loop, state, dispatcher::onLoadChanged)
     private val listingAge = ListingAgeTracker { state.listedKinds += ObjectKind.WEIGHT_VERSIONS }
     private val pauses = PauseMonitor(systemClocks, log)
+
+    // Kept when watches are restarted, so that the log shows the time since the last confirmation.
+    private val versionListener =
+        WeightVersionListener(log, systemClocks, pauses, listingAge) { target, age ->
+            state.versions.onTargetVersion(target.model, target.version, monotonicMillis(), age)
+        }
     private val watches = mutableListOf<Job>()
     private var isStopping = false
     private var areKeysAccepted = false
@@ -86,12 +92,9 @@
             loadSubscriber.sendQueries()
             dispatcher.onLoadChanged()
         }
-        val versions = WeightVersionListener(log, listingAge) { target, age ->
-            state.versions.onTargetVersion(target.model, target.version, monotonicMillis(), age)
-        }
         watches += startWatch(ObjectKind.ENDPOINTS, WATCH_MILLIS, endpoints, BATCH_DELAY_MILLIS)
         watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, EvacuationListener(state, log))
-        watches += startWatch(ObjectKind.WEIGHT_VERSIONS, WATCH_MILLIS, versions)
+        watches += startWatch(ObjectKind.WEIGHT_VERSIONS, WATCH_MILLIS, versionListener)
     }
 
     // A watch whose connection an outage has stalled would fail only at the end of its wait, so
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.fold
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.EndpointRecord
 import org.toucanspur.core.gateway.VersionDiscovery
@@ -20,6 +21,7 @@
 import org.toucanspur.platform.decodeEndpoint
 import org.toucanspur.platform.decodeTargetVersion
 import org.toucanspur.schema.EndpointId
+import org.toucanspur.schema.ModelId
 import org.toucanspur.schema.ZoneId
 
 /** Logs when watching [kind] fails because the store is unavailable, and when it recovers. */
@@ -162,12 +164,21 @@
     }
 }
 
-/** Passes on target weight versions; [listingAge] classifies those found by a listing. */
+/**
+ * Passes on target weight versions; [listingAge] classifies those found by a listing. The log shows
+ * how late a version may have been found: the time since the watch was last up to date, and the
+ * latest of the [pauses].
+ */
 class WeightVersionListener(
     log: DecisionLog,
+    private val clocks: ClockPair,
+    private val pauses: PauseMonitor,
     private val listingAge: ListingAgeTracker,
     private val onTargetVersion: (TargetVersion, VersionDiscovery) -> Unit
 ) : LoggingWatchListener(ObjectKind.WEIGHT_VERSIONS, log) {
+    private var upToDateAt: ClockReading? = null
+    private val newestVersions = HashMap<ModelId, Long>()
+
     override fun onListing(objects: List<StoredObject>) {
         val age = listingAge.next()
         objects.forEach { adopt(it, age) }
@@ -176,13 +187,28 @@
     override fun onChanges(changes: List<ObjectChange>) =
         changes.filterNot { it.isRemoved }.forEach { adopt(it.stored, VersionDiscovery.NEW) }
 
+    override fun onUpToDate(at: ClockReading) {
+        upToDateAt = at
+    }
+
     private fun adopt(stored: StoredObject, age: VersionDiscovery) {
         val target = decodeTargetVersion(stored) ?: return
+        val pause = pauses.recent()
+        val now = clocks.now()
+        val previous = newestVersions[target.model] ?: 0
         log.event(EventCode.VERSION_NAMED) {
             put("model", target.model.value)
             put("version", target.version)
+            put("previousVersion", previous)
             put("age", age.name)
+            put("revision", stored.revision)
+            put("upToDateAgoMillis", upToDateAt?.let(now::ageMillis) ?: -1)
+            pause?.let {
+                put("pauseMillis", it.lengthMillis)
+                put("pauseAgoMillis", now.ageMillis(it.endedAt))
+            }
         }
+        newestVersions[target.model] = maxOf(previous, target.version)
         onTargetVersion(target, age)
     }
 }
