Show in E501 and E504 the weight versions that a dispatch was based on

Requests began on an old weight version after the bound. The events of a dispatch did not show which version the entry believed its endpoint to serve, nor which one it required.

E501 and E504 now state the believed version, the lowest one allowed, the newest target version and how long the entry has known it. No decision changes.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -40,6 +40,12 @@
     /** The newest target version of [model], or 0 when there is none. */
     fun newest(model: ModelId): Long = targets[model]?.lastOrNull()?.version ?: 0
 
+    /** Time since [version] of [model] was observed; null if it is unknown or no longer kept. */
+    fun ageMillis(model: ModelId, version: Long, nowMillis: Long): Long? =
+        targets[model]?.lastOrNull {
+            it.version == version
+        }?.let { nowMillis - it.discoveredMillis }
+
     /**
      * Lowest version on which a request for [model] may start at [nowMillis]; 0 for any.
      * [loadedMax] is the highest version that an endpoint has loaded.
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
@@ -9,6 +9,11 @@
             val gate = VersionGate(boundMillis = 8000)
             gate.onTargetVersion(model, 2, 10_000)
             gate.onTargetVersion(model, 3, 12_000)
+            it("has an age from the time at which it was observed") {
+                gate.ageMillis(model, 2, 16_000) shouldBe 6000
+                gate.ageMillis(model, 3, 16_000) shouldBe 4000
+                gate.ageMillis(model, 4, 16_000) shouldBe null
+            }
             it("is not required at first") { gate.versionMin(model, 16_000, 3) shouldBe 0 }
             it("is required shortly before its own bound ends") {
                 gate.versionMin(model, 17_000, 3) shouldBe 2
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -5,6 +5,7 @@
 package org.toucanspur.daemon.gateway
 
 import java.net.InetSocketAddress
+import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.AttemptHistory
@@ -197,6 +198,7 @@
             put("occupancy", endpoint.occupancy(now, state.entryCount(now)))
             put("reportAgeMillis", endpoint.reportAgeMillis(now))
             endpoint.nextLoadMillis(now)?.let { put("nextLoadMillis", it) }
+            putVersions(call, endpoint, versionMin, now)
             put("configuration", state.configuration?.version ?: 0)
             if (isRetry) put("send", call.executedAttempts + call.unexecutedAttempts + 1)
         }
@@ -204,6 +206,20 @@
         call.send(endpoint, EndpointExchange(loop, request, call), CONNECT_TIMEOUT_MILLIS)
     }
 
+    private fun JsonObjectBuilder.putVersions(
+        call: Call,
+        endpoint: FleetEndpoint,
+        versionMin: Long,
+        nowMillis: Long
+    ) {
+        val model = call.metadata.model ?: return
+        val newest = state.versions.newest(model)
+        endpoint.loadedVersion(nowMillis)?.let { put("loadedVersion", it) }
+        put("versionMin", versionMin)
+        put("newestVersion", newest)
+        put("newestAgeMillis", state.versions.ageMillis(model, newest, nowMillis) ?: -1)
+    }
+
     private fun refuseUnplaced(call: Call, placement: Placement) {
         val isBusy = placement is Placement.Busy
         val predicted = if (placement is Placement.Busy) {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -3,12 +3,12 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
-import java.io.ByteArrayOutputStream
-import java.io.PrintStream
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -16,6 +16,10 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallerLimits
 import org.toucanspur.core.gateway.EndpointRecord
@@ -25,13 +29,14 @@
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
 import org.toucanspur.core.platform.ObjectKind
-import org.toucanspur.daemon.log.DecisionLog
+import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.schema.AddressesSection
 import org.toucanspur.schema.BoundsSection
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.EngineSection
 import org.toucanspur.schema.LimitsSection
+import org.toucanspur.schema.ModelId
 import org.toucanspur.schema.NodeConfiguration
 import org.toucanspur.schema.NodeRole
 import org.toucanspur.schema.NodeSection
@@ -44,6 +49,7 @@
 
 private const val CALL_SECONDS = 20
 private val service = ServiceId("s")
+private val model = ModelId("m")
 
 private fun settings() = NodeConfiguration(
     NodeSection(NodeRole.ENTRY, VmId("vm"), "127.0.0.1", ZoneId("z"), RegionId("r"), "z:r"),
@@ -73,26 +79,25 @@
 /** A gateway in front of scripted endpoints on the ports [endpoints]. */
 private class TestGateway(endpoints: List<Int>, isFresh: Boolean = true, isListed: Boolean = true) {
     private val loop = NettyEventLoop()
-    private val log = DecisionLog(VmId("vm"), PrintStream(ByteArrayOutputStream()))
+    val events = LogCapture()
     private val state = GatewayState(settings(), Random(1))
     val port: Int
 
     init {
-        val ready = CountDownLatch(1)
-        loop.executor.execute {
+        onLoop {
             state.configuration = configuration()
             if (isListed) state.listedKinds += ObjectKind.entries
             if (isFresh) state.freshness.renew(systemClocks.now())
             endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
-            ready.countDown()
         }
-        ready.await()
         val metrics = GatewayMetrics(SimpleMeterRegistry())
-        val dispatcher = CallDispatcher(loop, state, TestRequestCodec, log, metrics)
+        val dispatcher = CallDispatcher(loop, state, TestRequestCodec, events.log, metrics)
         val server = GatewayServer(loop, state, dispatcher, connectionsMax = 100)
         port = server.start(InetSocketAddress("127.0.0.1", 0)).port
     }
 
+    private fun onLoop(action: () -> Unit) = loop.executor.submit(action).get()
+
     private fun configuration() = TrafficConfiguration(
         1,
         listOf(
@@ -115,10 +120,15 @@
         slots = 8,
         isReady = true,
         coldRemainingMillis = 0,
-        loadedVersions = emptyMap(),
+        loadedVersions = mapOf(model to 3),
         startedAtMillis = 0
     )
 
+    /** Sets a target version that was observed [ageMillis] ago. */
+    fun setTargetVersion(version: Long, ageMillis: Long) = onLoop {
+        state.versions.onTargetVersion(model, version, monotonicMillis() - ageMillis)
+    }
+
     /** Sends a request and returns everything received until the connection closes. */
     fun call(
         path: String,
@@ -135,6 +145,8 @@
     }
 }
 
+private fun JsonObject?.long(field: String): Long? = this?.get(field)?.jsonPrimitive?.long
+
 private fun event(id: Int) = "id: $id\ndata: token$id\n\n"
 
 class GatewayTest :
@@ -297,6 +309,20 @@
                 closed.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS) shouldBe true
             }
         }
+        describe("a request for a model with a pending target version") {
+            it("is logged with the version believed loaded, the lowest allowed and the newest") {
+                val first = endpoint { request, socket -> socket.respond(request, "fine") }
+                val gateway = TestGateway(listOf(first.port))
+                gateway.setTargetVersion(version = 3, ageMillis = 60_000)
+                gateway.setTargetVersion(version = 4, ageMillis = 1000)
+                gateway.call("/once/", extraHeaders = "Model: m\r\n") shouldContain "fine"
+                val event = gateway.events.next(EventCode.REQUEST_DISPATCHED)
+                event.long("loadedVersion") shouldBe 3
+                event.long("versionMin") shouldBe 3
+                event.long("newestVersion") shouldBe 4
+                event.long("newestAgeMillis").shouldNotBeNull() shouldBeGreaterThanOrEqual 1000
+            }
+        }
         describe("a connection") {
             it("serves pipelined requests") {
                 val first = endpoint { request, socket -> socket.respond(request, "fine") }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
@@ -4,6 +4,7 @@
 import org.toucanspur.core.gateway.EndpointRequestMetadata
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.core.gateway.RequestCodec
+import org.toucanspur.schema.ModelId
 import org.toucanspur.schema.RequestId
 
 /** A codec with header names that differ from those of the platform codec. */
@@ -14,7 +15,7 @@
         requestId = header("Id")?.let(::RequestId),
         remainingMillis = header("Left")?.toLong(),
         key = header("Key"),
-        model = null,
+        model = header("Model")?.let(::ModelId),
         promptTokens = null,
         outputTokensMax = null,
         lastEventId = header("Last")
