Log and count responses that began on an older weight version than allowed

Requests began on an old weight version after the bound, and no line showed it: a response states the version on which it began, but the entry did not read it.

The entry now compares that version at the response head with the lowest one allowed at that moment. If it is older, E509 states both versions, how long the target version has been known, the lowest version allowed when the request was sent, and how long ago that was. This separates a request that was sent in time and began late from one that the endpoint ran in spite of the version that it was asked for. toucanspur_responses_outdated_total counts these responses. toucanspur_responses_head_pending_seconds measures the time from send to response head of the requests that could still begin on an older version. No decision changes.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -56,6 +56,7 @@
     REQUEST_FAILED(506, "request failed at the endpoint"),
     REQUEST_ABANDONED(507, "caller disconnected before the response was complete"),
     RESPONSE_ABORTED(508, "response aborted"),
+    RESPONSE_OUTDATED(509, "response began on an older weight version than allowed"),
     ENDPOINT_COLD(510, "endpoint became cold and its limit was lowered"),
     ENDPOINT_CRASHED(511, "endpoint crashed and the crash was counted against its requests"),
     ENDPOINT_DRAINING(512, "endpoint accepts no new requests")
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/RequestCodec.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/RequestCodec.kt
@@ -61,6 +61,9 @@
     /** Id of the request that a response belongs to; null when the response does not state it. */
     fun requestIdOf(header: (String) -> String?): RequestId?
 
+    /** Weight version on which a response began; null when the response does not state it. */
+    fun weightVersionOf(header: (String) -> String?): Long?
+
     /** Headers of a response that the gateway itself generates. */
     fun callerHeaders(id: RequestId): List<HeaderLine>
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -32,6 +32,9 @@
     /** Called when an attempt ends with [outcome]; the call may be sent to another endpoint. */
     fun onAttemptFailed(call: Call, outcome: AttemptOutcome, reason: String)
 
+    /** Called when the response of an [endpoint] that ran the request begins. */
+    fun onResponseBegun(call: Call, endpoint: FleetEndpoint)
+
     /** Called when the response of the endpoint is complete. */
     fun onResponseComplete(call: Call, status: Int)
 
@@ -95,6 +98,14 @@
     var lastProgressMillis = 0L
         private set
 
+    /** Time at which the call was last sent to an endpoint. */
+    var sentMillis = 0L
+        private set
+
+    /** Weight version on which the current response began; null while it is unknown. */
+    var weightVersion: Long? = null
+        private set
+
     /** Time at which the first response byte was written to the caller; 0 before that. */
     var firstByteMillis = 0L
         private set
@@ -105,6 +116,9 @@
     /** Time to first byte predicted by the last placement. */
     var predictedMillis = 0.0
 
+    /** Lowest weight version allowed when the call was last sent. */
+    var versionMin = 0L
+
     /** Timer that fires at the deadline. */
     var deadlineTimer: ScheduledFuture<*>? = null
 
@@ -126,8 +140,10 @@
         responseHead = null
         eventSplitter = null
         bufferedBody = ByteArrayOutputStream(0)
-        lastProgressMillis = monotonicMillis()
-        target.onAttempt(lastProgressMillis)
+        weightVersion = null
+        sentMillis = monotonicMillis()
+        lastProgressMillis = sentMillis
+        target.onAttempt(sentMillis)
         newExchange.start(connectTimeoutMillis)
     }
 
@@ -176,6 +192,7 @@
         val status = response.status().code()
         val lookup = { name: String -> response.headers().get(name) }
         val respondedId = delegate.codec.requestIdOf(lookup)
+        weightVersion = delegate.codec.weightVersionOf(lookup)
         when {
             respondedId != null && respondedId != id -> onBrokenResponse(
                 "answer to another request"
@@ -192,6 +209,7 @@
     }
 
     private fun acceptResponse(response: HttpResponse, status: Int) {
+        endpoint?.let { delegate.onResponseBegun(this, it) }
         val observation =
             if (status >= FIRST_SERVER_ERROR) {
                 EndpointSignal.SERVER_ERROR
@@ -220,6 +238,7 @@
     }
 
     private fun onServerError(status: Int) {
+        endpoint?.let { delegate.onResponseBegun(this, it) }
         failAttempt(
             EndpointSignal.SERVER_ERROR,
             AttemptOutcome.MAY_HAVE_RUN,
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -10,6 +10,7 @@
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.AttemptHistory
 import org.toucanspur.core.gateway.AttemptOutcome
+import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallQueue
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRequestMetadata
@@ -203,6 +204,7 @@
             if (isRetry) put("send", call.executedAttempts + call.unexecutedAttempts + 1)
         }
         call.predictedMillis = placement.firstByteMillis
+        call.versionMin = versionMin
         call.send(endpoint, EndpointExchange(loop, request, call), CONNECT_TIMEOUT_MILLIS)
     }
 
@@ -323,6 +325,27 @@
         refuse(call, refusal)
     }
 
+    override fun onResponseBegun(call: Call, endpoint: FleetEndpoint) {
+        val model = call.metadata.model ?: return
+        val version = call.weightVersion ?: return
+        val now = monotonicMillis()
+        val sentAgoMillis = now - call.sentMillis
+        if (state.versions.newest(model) > call.versionMin) metrics.onHeadPending(sentAgoMillis)
+        val versionMin = versionMin(call, now)
+        if (version >= versionMin) return
+        metrics.outdated.increment()
+        log.event(EventCode.RESPONSE_OUTDATED) {
+            put("request", call.id.value)
+            put("endpoint", endpoint.record.id.value)
+            put("version", version)
+            put("versionMin", versionMin)
+            put("ageMillis", state.versions.ageMillis(model, versionMin, now) ?: -1)
+            put("versionMinWhenSent", call.versionMin)
+            put("sentAgoMillis", sentAgoMillis)
+            put("isStream", call.route.kind == CallKind.STREAM)
+        }
+    }
+
     override fun onResponseComplete(call: Call, status: Int) {
         activeCalls -= call
         val total = monotonicMillis() - call.request.receivedMillis
@@ -335,6 +358,7 @@
             put("firstByteMillis", firstByte)
             put("totalMillis", total)
             put("sends", call.executedAttempts)
+            call.weightVersion?.let { put("weights", it) }
         }
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
@@ -20,6 +20,10 @@
     /** Requests whose caller disconnected before the response was complete. */
     val abandoned = registry.counter("toucanspur.requests.abandoned")
 
+    /** Responses that began on an older weight version than allowed. */
+    val outdated = registry.counter("toucanspur.responses.outdated")
+
+    private val headPending = timer("toucanspur.responses.head.pending")
     private val firstByte = timer("toucanspur.requests.first.byte")
     private val total = timer("toucanspur.requests.total")
     private val predictionError = timer("toucanspur.placement.error")
@@ -28,6 +32,12 @@
     fun onRefused(status: Int) =
         registry.counter("toucanspur.requests.refused", "status", status.toString()).increment()
 
+    /**
+     * Records the time from sending a request to its response head. Only requests that were allowed
+     * to begin on an older version than the newest target version are recorded.
+     */
+    fun onHeadPending(millis: Long) = headPending.record(millis, TimeUnit.MILLISECONDS)
+
     /** Records a complete response. */
     fun onResponseComplete(firstByteMillis: Long, totalMillis: Long, predictedMillis: Double) {
         firstByte.record(firstByteMillis, TimeUnit.MILLISECONDS)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -15,6 +15,7 @@
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.random.Random
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonPrimitive
@@ -79,6 +80,7 @@
 /** A gateway in front of scripted endpoints on the ports [endpoints]. */
 private class TestGateway(endpoints: List<Int>, isFresh: Boolean = true, isListed: Boolean = true) {
     private val loop = NettyEventLoop()
+    private val registry = SimpleMeterRegistry()
     val events = LogCapture()
     private val state = GatewayState(settings(), Random(1))
     val port: Int
@@ -90,7 +92,7 @@
             if (isFresh) state.freshness.renew(systemClocks.now())
             endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
         }
-        val metrics = GatewayMetrics(SimpleMeterRegistry())
+        val metrics = GatewayMetrics(registry)
         val dispatcher = CallDispatcher(loop, state, TestRequestCodec, events.log, metrics)
         val server = GatewayServer(loop, state, dispatcher, connectionsMax = 100)
         port = server.start(InetSocketAddress("127.0.0.1", 0)).port
@@ -124,6 +126,11 @@
         startedAtMillis = 0
     )
 
+    /** Number of responses counted as outdated. */
+    val outdatedCount: Long get() = registry.counter(
+        "toucanspur.responses.outdated"
+    ).count().toLong()
+
     /** Sets a target version that was observed [ageMillis] ago. */
     fun setTargetVersion(version: Long, ageMillis: Long) = onLoop {
         state.versions.onTargetVersion(model, version, monotonicMillis() - ageMillis)
@@ -323,6 +330,50 @@
                 event.long("newestAgeMillis").shouldNotBeNull() shouldBeGreaterThanOrEqual 1000
             }
         }
+        describe("the weight version on which a response began") {
+            val versions = "Seal: s\r\nVersion: 2\r\n"
+            it("is logged when the response is complete") {
+                val first = endpoint { request, socket ->
+                    socket.respond(request, "fine", headers = versions)
+                }
+                val gateway = TestGateway(listOf(first.port))
+                gateway.call("/once/", extraHeaders = "Model: m\r\n") shouldContain "fine"
+                gateway.events.next(EventCode.REQUEST_ANSWERED).long("weights") shouldBe 2
+                gateway.outdatedCount shouldBe 0
+            }
+            it("is logged and counted if it is older than the one required when it was sent") {
+                val first = endpoint { request, socket ->
+                    socket.respond(request, "fine", headers = versions)
+                }
+                val gateway = TestGateway(listOf(first.port))
+                gateway.setTargetVersion(version = 3, ageMillis = 60_000)
+                gateway.call("/once/", extraHeaders = "Model: m\r\n") shouldContain "fine"
+                val event = gateway.events.next(EventCode.RESPONSE_OUTDATED)
+                event.long("version") shouldBe 2
+                event.long("versionMin") shouldBe 3
+                event.long("versionMinWhenSent") shouldBe 3
+                event.long("ageMillis").shouldNotBeNull() shouldBeGreaterThanOrEqual 60_000
+                gateway.outdatedCount shouldBe 1
+            }
+            it("is logged and counted if a newer one became required after it was sent") {
+                val (toStart, toFinish) = List(2) { CountDownLatch(1) }
+                val first = endpoint { request, socket ->
+                    toStart.countDown()
+                    toFinish.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
+                    socket.respond(request, "fine", headers = versions)
+                }
+                val gateway = TestGateway(listOf(first.port))
+                val caller = thread { gateway.call("/once/", extraHeaders = "Model: m\r\n") }
+                toStart.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS) shouldBe true
+                gateway.setTargetVersion(version = 3, ageMillis = 60_000)
+                toFinish.countDown()
+                caller.join()
+                val event = gateway.events.next(EventCode.RESPONSE_OUTDATED)
+                event.long("versionMin") shouldBe 3
+                event.long("versionMinWhenSent") shouldBe 0
+                gateway.outdatedCount shouldBe 1
+            }
+        }
         describe("a connection") {
             it("serves pipelined requests") {
                 val first = endpoint { request, socket -> socket.respond(request, "fine") }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
@@ -35,5 +35,7 @@
 
     override fun requestIdOf(header: (String) -> String?) = header("Id")?.let(::RequestId)
 
+    override fun weightVersionOf(header: (String) -> String?) = header("Version")?.toLong()
+
     override fun callerHeaders(id: RequestId) = listOf(HeaderLine("Id", id.value))
 }
