State the weight version in the responses of the stand-in engine

The stand-in engine did not state the version on which a response began, so soak runs could not show whether entries find outdated responses.

--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/Documents.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/Documents.kt
@@ -10,6 +10,9 @@
 /** Header with an endpoint's signature of its response. */
 const val SIGNATURE_HEADER = "X-Response-Seal"
 
+/** Header with the weight version on which a response began. */
+const val WEIGHT_VERSION_HEADER = "X-Weight-Versions"
+
 /** A request that a caller sends on an open connection. */
 class CallerRequest(val id: String, val host: String, val path: String, val key: String) {
     /** Encodes the request, with a deadline of [deadlineMillis]. */
--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/ModelEngineService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/ModelEngineService.kt
@@ -162,6 +162,7 @@
         exchange.responseHeaders.add("Content-Type", "text/event-stream")
         exchange.responseHeaders.add(SIGNATURE_HEADER, "$name.${System.nanoTime()}")
         exchange.responseHeaders.add(REQUEST_ID_HEADER, id)
+        exchange.responseHeaders.add(WEIGHT_VERSION_HEADER, version.toString())
         exchange.sendResponseHeaders(OK, 0)
         val first = (exchange.header("Last-Event-Id")?.toInt() ?: 0) + 1
         for (number in first..STREAM_EVENTS) {
