--- a/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
@@ -17,6 +17,11 @@
                 gate.versionDue(model, at(17_700)) shouldBe 2
                 gate.versionDue(model, at(19_700)) shouldBe 3
             }
+            it("has an age from the start of its bound") {
+                gate.ageMillis(model, 2, at(16_000)) shouldBe 6000
+                gate.ageMillis(model, 3, at(16_000)) shouldBe 4000
+                gate.ageMillis(model, 4, at(16_000)) shouldBe null
+            }
             it("is required shortly before its own bound ends") {
                 gate.versionMin(model, at(17_000), 3) shouldBe 2
                 gate.versionMin(model, at(18_799), 3) shouldBe 2
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -5,10 +5,12 @@
 package org.toucanspur.daemon.gateway
 
 import java.net.InetSocketAddress
+import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.AttemptHistory
 import org.toucanspur.core.gateway.AttemptOutcome
+import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallQueue
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRequestMetadata
@@ -197,6 +199,7 @@
             put("occupancy", endpoint.occupancy(now, state.entryCount(now)))
             put("reportAgeMillis", endpoint.reportAgeMillis(now))
             endpoint.nextLoadMillis(now)?.let { put("nextLoadMillis", it) }
+            putVersions(call, endpoint, versionMin, now)
             put("configuration", state.configuration?.version ?: 0)
             if (isRetry) put("send", call.executedAttempts + call.unexecutedAttempts + 1)
         }
@@ -205,6 +208,20 @@
         call.send(endpoint, exchange, CONNECT_TIMEOUT_MILLIS, versionMin)
     }
 
+    private fun JsonObjectBuilder.putVersions(
+        call: Call,
+        endpoint: FleetEndpoint,
+        versionMin: Long,
+        nowMillis: Long
+    ) {
+        val model = call.metadata.model ?: return
+        val newest = state.versions.newest(model)
+        endpoint.loadedVersion(nowMillis)?.let { put("loadedVersion", it) }
+        put("versionMin", versionMin)
+        put("newestVersion", newest)
+        put("newestAgeMillis", state.versions.ageMillis(model, newest, systemClocks.now()) ?: -1)
+    }
+
     private fun refuseUnplaced(call: Call, placement: Placement) {
         val isBusy = placement is Placement.Busy
         val predicted = if (placement is Placement.Busy) {
@@ -308,6 +325,27 @@
         refuse(call, refusal)
     }
 
+    override fun onResponseBegun(call: Call, endpoint: FleetEndpoint) {
+        val model = call.metadata.model ?: return
+        val version = call.weightVersion ?: return
+        val now = monotonicMillis()
+        val sentAgoMillis = now - call.sentMillis
+        if (state.versions.newest(model) > call.versionMin) metrics.onHeadPending(sentAgoMillis)
+        val versionMin = versionMin(call, now)
+        if (version >= versionMin) return
+        metrics.outdated.increment()
+        log.event(EventCode.RESPONSE_OUTDATED) {
+            put("request", call.id.value)
+            put("endpoint", endpoint.record.id.value)
+            put("version", version)
+            put("versionMin", versionMin)
+            put("ageMillis", state.versions.ageMillis(model, versionMin, systemClocks.now()) ?: -1)
+            put("versionMinWhenSent", call.versionMin)
+            put("sentAgoMillis", sentAgoMillis)
+            put("isStream", call.route.kind == CallKind.STREAM)
+        }
+    }
+
     override fun onResponseComplete(call: Call, status: Int) {
         activeCalls -= call
         val total = monotonicMillis() - call.request.receivedMillis
@@ -320,6 +358,7 @@
             put("firstByteMillis", firstByte)
             put("totalMillis", total)
             put("sends", call.executedAttempts)
+            call.weightVersion?.let { put("weights", it) }
         }
     }
 
@@ -412,7 +451,7 @@
     private fun checkVersion(call: Call, nowMillis: Long) {
         val due = state.versions.versionDue(call.metadata.model, systemClocks.now())
         val loaded = call.endpoint?.loadedVersion(nowMillis) ?: 0
-        if (call.expectedVersion >= due || loaded >= due) return
+        if (call.versionMin >= due || loaded >= due) return
         call.withdraw("endpoint has not started it before version $due is due")
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -54,6 +54,12 @@
     private val listingAge = ListingAgeTracker { state.listedKinds += ObjectKind.WEIGHT_VERSIONS }
     private val pauses = PauseMonitor(systemClocks, log)
     private val versionProgress = WatchProgress(pauses)
+
+    // Kept when watches are restarted, so that the log shows the time since the last confirmation.
+    private val versionListener =
+        WeightVersionListener(log, systemClocks, pauses, listingAge) { target, since, age ->
+            state.versions.onTargetVersion(target.model, target.version, since, age)
+        }
     private val watches = mutableListOf<Job>()
     private var isStopping = false
     private var areKeysAccepted = false
@@ -97,15 +103,12 @@
             loadSubscriber.sendQueries()
             dispatcher.onLoadChanged()
         }
-        val versions = WeightVersionListener(log, listingAge) { target, since, age ->
-            state.versions.onTargetVersion(target.model, target.version, since, age)
-        }
         watches += startWatch(ObjectKind.ENDPOINTS, WATCH_MILLIS, endpoints, BATCH_DELAY_MILLIS)
         watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, EvacuationListener(state, log))
         watches += startWatch(
             ObjectKind.WEIGHT_VERSIONS,
             VERSION_WATCH_MILLIS,
-            versions,
+            versionListener,
             progress = versionProgress
         )
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -3,12 +3,12 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
-import java.io.ByteArrayOutputStream
-import java.io.PrintStream
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
@@ -16,7 +16,12 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.random.Random
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallerLimits
 import org.toucanspur.core.gateway.ClockReading
@@ -28,7 +33,6 @@
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
 import org.toucanspur.core.platform.ObjectKind
-import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.schema.AddressesSection
@@ -87,26 +91,26 @@
 /** A gateway in front of scripted endpoints on the ports [endpoints]. */
 private class TestGateway(endpoints: List<Int>, isFresh: Boolean = true, isListed: Boolean = true) {
     private val loop = NettyEventLoop()
-    private val log = DecisionLog(VmId("vm"), PrintStream(ByteArrayOutputStream()))
+    private val registry = SimpleMeterRegistry()
+    val events = LogCapture()
     private val state = GatewayState(settings(), Random(1))
     val port: Int
 
     init {
-        val ready = CountDownLatch(1)
-        loop.executor.execute {
+        onLoop {
             state.configuration = configuration()
             if (isListed) state.listedKinds += ObjectKind.entries
             if (isFresh) state.freshness.renew(systemClocks.now())
             endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
-            ready.countDown()
         }
-        ready.await()
-        val metrics = GatewayMetrics(SimpleMeterRegistry())
-        val dispatcher = CallDispatcher(loop, state, TestRequestCodec, log, metrics)
+        val metrics = GatewayMetrics(registry)
+        val dispatcher = CallDispatcher(loop, state, TestRequestCodec, events.log, metrics)
         val server = GatewayServer(loop, state, dispatcher, connectionsMax = 100)
         port = server.start(InetSocketAddress("127.0.0.1", 0)).port
     }
 
+    private fun onLoop(action: () -> Unit) = loop.executor.submit(action).get()
+
     private fun configuration() = TrafficConfiguration(
         1,
         listOf(
@@ -127,7 +131,7 @@
         index: Int,
         port: Int,
         recordService: ServiceId = service,
-        versions: Map<ModelId, Long> = emptyMap()
+        versions: Map<ModelId, Long> = mapOf(model to 3)
     ) = EndpointRecord(
         EndpointId("e$index"),
         recordService,
@@ -142,8 +146,6 @@
         startedAtMillis = 0
     )
 
-    private fun onLoop(action: () -> Unit) = loop.executor.submit(action).get()
-
     /** Lists an engine on [port] that has loaded [version]. */
     fun addEngine(port: Int, version: Long) = onLoop {
         val versions = mapOf(model to version)
@@ -161,6 +163,11 @@
     fun callEngine(path: String = "/engine/"): String =
         call(path, extraHeaders = "Model: ${model.value}\r\n")
 
+    /** Number of responses counted as outdated. */
+    val outdatedCount: Long get() = registry.counter(
+        "toucanspur.responses.outdated"
+    ).count().toLong()
+
     /** Sends a request and returns everything received until the connection closes. */
     fun call(
         path: String,
@@ -177,6 +184,8 @@
     }
 }
 
+private fun JsonObject?.long(field: String): Long? = this?.get(field)?.jsonPrimitive?.long
+
 private fun event(id: Int) = "id: $id\ndata: token$id\n\n"
 
 class GatewayTest :
@@ -370,6 +379,64 @@
                 newer.received.size shouldBe 1
             }
         }
+        describe("a request for a model with a pending target version") {
+            it("is logged with the version believed loaded, the lowest allowed and the newest") {
+                val first = endpoint { request, socket -> socket.respond(request, "fine") }
+                val gateway = TestGateway(listOf(first.port))
+                gateway.setTargetVersion(version = 3, ageMillis = 60_000)
+                gateway.setTargetVersion(version = 4, ageMillis = 1000)
+                gateway.call("/once/", extraHeaders = "Model: m\r\n") shouldContain "fine"
+                val event = gateway.events.next(EventCode.REQUEST_DISPATCHED)
+                event.long("loadedVersion") shouldBe 3
+                event.long("versionMin") shouldBe 3
+                event.long("newestVersion") shouldBe 4
+                event.long("newestAgeMillis").shouldNotBeNull() shouldBeGreaterThanOrEqual 1000
+            }
+        }
+        describe("the weight version on which a response began") {
+            val versions = "Seal: s\r\nVersion: 2\r\n"
+            it("is logged when the response is complete") {
+                val first = endpoint { request, socket ->
+                    socket.respond(request, "fine", headers = versions)
+                }
+                val gateway = TestGateway(listOf(first.port))
+                gateway.call("/once/", extraHeaders = "Model: m\r\n") shouldContain "fine"
+                gateway.events.next(EventCode.REQUEST_ANSWERED).long("weights") shouldBe 2
+                gateway.outdatedCount shouldBe 0
+            }
+            it("is logged and counted if it is older than the one required when it was sent") {
+                val first = endpoint { request, socket ->
+                    socket.respond(request, "fine", headers = versions)
+                }
+                val gateway = TestGateway(listOf(first.port))
+                gateway.setTargetVersion(version = 3, ageMillis = 60_000)
+                gateway.call("/once/", extraHeaders = "Model: m\r\n") shouldContain "fine"
+                val event = gateway.events.next(EventCode.RESPONSE_OUTDATED)
+                event.long("version") shouldBe 2
+                event.long("versionMin") shouldBe 3
+                event.long("versionMinWhenSent") shouldBe 3
+                event.long("ageMillis").shouldNotBeNull() shouldBeGreaterThanOrEqual 60_000
+                gateway.outdatedCount shouldBe 1
+            }
+            it("is logged and counted if a newer one became required after it was sent") {
+                val (toStart, toFinish) = List(2) { CountDownLatch(1) }
+                val first = endpoint { request, socket ->
+                    toStart.countDown()
+                    toFinish.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
+                    socket.respond(request, "fine", headers = versions)
+                }
+                val gateway = TestGateway(listOf(first.port))
+                val caller = thread { gateway.call("/once/", extraHeaders = "Model: m\r\n") }
+                toStart.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS) shouldBe true
+                gateway.setTargetVersion(version = 3, ageMillis = 60_000)
+                toFinish.countDown()
+                caller.join()
+                val event = gateway.events.next(EventCode.RESPONSE_OUTDATED)
+                event.long("versionMin") shouldBe 3
+                event.long("versionMinWhenSent") shouldBe 0
+                gateway.outdatedCount shouldBe 1
+            }
+        }
         describe("a connection") {
             it("serves pipelined requests") {
                 val first = endpoint { request, socket -> socket.respond(request, "fine") }
