Do not complete a request with an interim response

Callers saw: status 200 with an empty body, without a seal, when an endpoint sent an interim response (1xx) before its response.

Cause: the codec emits an end after each interim response. EndpointExchange dropped the head of an interim response but took that end for the end of the response; without a head, the call completed with status 200. The HTTP client for store, origin and engines returned the interim response itself and could keep the connection for another call while the response was pending.

Change: InterimResponseFilter drops interim responses with their ends for both clients. A switch of the protocol (101), which no client requests, fails the exchange.

Evidence: UndelimitedResponseTest "precede the response and are not relayed" and "do not switch the protocol" failed before with "HTTP/1.1 200 OK, content-length: 0" and pass now. The other cases of the new test, responses that end with their connection, passed before as well.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
+import org.toucanspur.daemon.net.InterimResponseFilter
 import org.toucanspur.daemon.net.NettyEventLoop
 
 /** Callbacks of an exchange; [onEnd] or [onFailure] is the last one. */
@@ -58,7 +59,7 @@
     /** Connects to the endpoint and sends the request. */
     fun start(connectTimeoutMillis: Int) {
         val future = loop.connect(request.address, connectTimeoutMillis) {
-            it.pipeline().addLast(HttpClientCodec(), ResponseHandler())
+            it.pipeline().addLast(HttpClientCodec(), InterimResponseFilter(), ResponseHandler())
         }
         channel = future.channel()
         future.addListener { if (it.isSuccess) send() else fail("not connected: ${it.cause()}") }
@@ -123,7 +124,6 @@
                 return
             }
             if (message is HttpResponse) {
-                if (message.status().code() < FIRST_FINAL_STATUS) return
                 hasLength = HttpUtil.isTransferEncodingChunked(message) ||
                     message.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 listener.onHead(this@EndpointExchange, message)
@@ -152,7 +152,6 @@
     }
 
     private companion object {
-        const val FIRST_FINAL_STATUS = 200
         val EMPTY_HEADERS: HttpHeaders =
             DefaultHttpHeadersFactory.trailersFactory()
                 .newEmptyHeaders()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -67,6 +67,7 @@
             val future = loop.connect(socketAddress(call.address), connectMillis) {
                 it.pipeline().addLast(
                     HttpClientCodec(),
+                    InterimResponseFilter(),
                     HttpObjectAggregator(RESPONSE_MAX_BYTES),
                     ResponseHandler()
                 )
