Do not complete a response when writing its request fails

Callers saw: a truncated response with status 200 and a seal as complete, when an endpoint responded without a length before it had read the request, and reset the connection.

Cause: a failed write closes the channel without an exception in the pipeline. The codec then ends a response without a length as after an orderly close.

Change: EndpointExchange records a failed write as a reset; NettyHttpClient fails the call.

Evidence: UndelimitedResponseTest "is not complete when the reset is noticed by a write of the request" received "200 OK, content-length: 4, part" before and 502 now. NettyHttpClient has the same pipeline; its change has no test of its own.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
@@ -92,7 +92,10 @@
             EMPTY_HEADERS
         )
         wasSent = true
-        channel?.writeAndFlush(full)
+        // A write that fails closes the channel without an exception in the pipeline.
+        channel?.writeAndFlush(full)?.addListener {
+            if (!it.isSuccess && resetReason == null) resetReason = it.cause().toString()
+        }
     }
 
     private fun fail(reason: String) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -101,7 +101,10 @@
                 call.contentType?.let { request.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
             }
             isSent = true
-            channel?.writeAndFlush(request)
+            // A write that fails closes the channel, which ends a response without a length.
+            channel?.writeAndFlush(request)?.addListener {
+                if (!it.isSuccess) fail(it.cause().toString())
+            }
         }
 
         fun fail(reason: String) = finish(
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/UndelimitedResponseTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/UndelimitedResponseTest.kt
@@ -7,7 +7,9 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
+import java.net.ServerSocket
 import java.net.Socket
+import kotlin.concurrent.thread
 
 private const val LAST_CHUNK = "0\r\n\r\n"
 
@@ -104,6 +106,23 @@
                     response.endsWith(LAST_CHUNK) shouldBe false
                 }
             }
+            it("is not complete when the reset is noticed by a write of the request") {
+                ServerSocket(0).use { listener ->
+                    thread(isDaemon = true) {
+                        val socket = listener.accept()
+                        socket.getInputStream().read()
+                        socket.send("HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n\r\npart")
+                        socket.reset()
+                    }
+                    val response = TestGateway(
+                        listOf(listener.localPort),
+                        bodyMaxBytes = 32_000_000
+                    )
+                        .call("/once/", body = "x".repeat(32_000_000))
+                    response shouldContain "502"
+                    response shouldNotContain "part"
+                }
+            }
         }
         describe("a stream that ends with an orderly close") {
             it("is complete between two events") {
