Do not count blank lines between events as part of an event

Callers saw: a complete stream broken off, if it ended with another blank line after its last event and that line arrived separately. The stream was also resumed at another endpoint for nothing.

Cause: EventStreamSplitter recognised a blank line only after a line break in the same buffer, so a line break at the start of the buffer began an event; whether it did depended on how the bytes arrived. Blank lines that arrived together counted as events, so that a response of line breaks alone was committed.

Change: an event begins with its first byte other than a line break. Blank lines are relayed with the next event or at the end of the stream.

Evidence: UndelimitedResponseTest "is complete after blank lines that follow an event" failed before (no last chunk) and passes now; EventStreamSplitterTest covers each split of the bytes.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/EventStreamSplitter.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/EventStreamSplitter.kt
@@ -13,10 +13,17 @@
     private var pending = ByteArray(INITIAL_BYTES)
     private var size = 0
     private var scanned = 0
+    private var hasContent = false
 
     /** Number of buffered bytes of an incomplete event. */
     val pendingBytes: Int get() = size
 
+    /** Whether an event has begun and not ended; blank lines between events begin none. */
+    val isInsideEvent: Boolean get() = hasContent
+
+    /** Buffered bytes that were not returned by [add]. */
+    fun remainder(): ByteArray = pending.copyOf(size)
+
     /** Whether an event exceeds the size limit, so that the response cannot be relayed. */
     val isOverflowing: Boolean get() = size > eventMaxBytes
 
@@ -30,10 +37,13 @@
         var lastId: String? = null
         var position = scanned
         while (position < size) {
-            if (isEventEnd(position)) {
+            if (hasContent && isEventEnd(position)) {
                 eventIdIn(end, position)?.let { lastId = it }
                 end = position + 1
                 events++
+                hasContent = false
+            } else if (pending[position] != LF && pending[position] != CR) {
+                hasContent = true
             }
             position++
         }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/EventStreamSplitterTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/EventStreamSplitterTest.kt
@@ -41,6 +41,24 @@
                     ("id:7\r\ndata: x\r\n\r\n" to "7")
             }
         }
+        describe("blank lines between events") {
+            it("begin no event, however the bytes are split") {
+                val bytes = "\n\r\nid: 1\ndata: a\n\n\n\r\n\n".encodeToByteArray()
+                val splitter = EventStreamSplitter()
+                val out = ByteArrayOutputStream()
+                bytes.forEach { byte ->
+                    splitter.add(byteArrayOf(byte))?.let { out.write(it.bytes) }
+                }
+                out.toString() shouldBe "\n\r\nid: 1\ndata: a\n\n"
+                splitter.isInsideEvent shouldBe false
+                splitter.remainder().decodeToString() shouldBe "\n\r\n\n"
+            }
+            it("are no events without end either") {
+                val splitter = EventStreamSplitter(eventMaxBytes = 10)
+                repeat(11) { splitter.add("\n".encodeToByteArray()) shouldBe null }
+                splitter.isOverflowing shouldBe true
+            }
+        }
         describe("an event larger than the limit") {
             it("is reported as overflow") {
                 val splitter = EventStreamSplitter(eventMaxBytes = 10)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -279,10 +279,12 @@
 
     override fun onEnd(exchange: EndpointExchange) {
         if (exchange !== this.exchange) return
-        if ((eventSplitter?.pendingBytes ?: 0) > 0) {
+        val events = eventSplitter
+        if (events != null && events.isInsideEvent) {
             onBrokenResponse("stream ended within an event")
             return
         }
+        if (events != null && events.pendingBytes > 0) bufferOrRelay(events.remainder())
         val response = responseHead
         val status = response?.status()?.code() ?: OK
         recordAttempt(AttemptOutcome.MAY_HAVE_RUN)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/UndelimitedResponseTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/UndelimitedResponseTest.kt
@@ -135,6 +135,17 @@
                 response shouldContain "token3"
                 response.endsWith(LAST_CHUNK) shouldBe true
             }
+            it("is complete after blank lines that follow an event") {
+                listOf("\n", "\r\n", "\n\n\n", "\r\n\r\n").forEach { blankLines ->
+                    val response = callOne("/stream/") { request, socket ->
+                        socket.send(undelimitedHead(request) + undelimitedEvent(1))
+                        Thread.sleep(RESET_DELAY_MILLIS)
+                        socket.send(blankLines)
+                    }
+                    response shouldContain "token1"
+                    response.endsWith(LAST_CHUNK) shouldBe true
+                }
+            }
             it("is complete without an event") {
                 val response = callOne("/stream/") { request, socket ->
                     socket.send(undelimitedHead(request))
