Do not send a request again after a part of its response has been relayed

Callers saw: the begin of one response followed by that of another endpoint, ended as complete, when an endpoint stalled after more than 128 KiB of a response to an idempotent request.

Cause: the check for stalled responses lacked the condition of the retry policy that only a resumable stream continues at another endpoint after the caller has received a part.

Change: CallDispatcher.checkStall leaves such a response to its deadline, where it is broken off.

Evidence: UndelimitedResponseTest "is not continued with the response of another endpoint" received 200 KiB of the first response and "whole" of the second before; now the response is broken off.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -408,6 +408,7 @@
     // Load pattern: connections of a failed or unreachable endpoint stay open but carry no data. A
     // repeatable call is sent to another endpoint, but only to one with free capacity.
     private fun checkStall(call: Call, nowMillis: Long) {
+        if (call.isCommitted && !call.isResumable) return
         if (nowMillis - call.lastProgressMillis < stallMillis(call.route, call.isCommitted)) return
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return
         val placement = place(call, nowMillis)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/UndelimitedResponseTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/UndelimitedResponseTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.string.shouldNotContain
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
 private const val LAST_CHUNK = "0\r\n\r\n"
@@ -233,6 +234,26 @@
                 }
             }
         }
+        describe("a response that stalls after it was relayed in part") {
+            it("is not continued with the response of another endpoint") {
+                val requests = AtomicInteger()
+                val script: (ReceivedRequest, Socket) -> Unit = { request, socket ->
+                    if (requests.incrementAndGet() == 1) {
+                        socket.send(undelimitedHead(request) + "x".repeat(RELAYED_BYTES))
+                        socket.getInputStream().read()
+                    } else {
+                        socket.respond(request, "whole\n\n")
+                    }
+                }
+                val response = TestGateway(
+                    List(2) { endpoint(script).port },
+                    targetMillis = 200
+                ).call("/idempotent/", extraHeaders = "Left: 1500\r\n")
+                response.count { it == 'x' } shouldBe RELAYED_BYTES
+                response shouldNotContain "whole"
+                response.endsWith(LAST_CHUNK) shouldBe false
+            }
+        }
         describe("interim responses") {
             it("precede the response and are not relayed") {
                 val interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
