--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -24,7 +24,7 @@
 class VersionGate(private val boundMillis: Long) {
     private val targets = HashMap<ModelId, ArrayDeque<TargetVersion>>()
 
-    /** Records that [version] is set as a target version of [model]; its bound starts at [since]. */
+    /** Records that [version] is set as a target of [model]; its bound starts at [since]. */
     fun onTargetVersion(
         model: ModelId,
         version: Long,
