Log the prompt parts and the progress of a failed attempt

Callers saw endpoints crash one after the other while requests with one prompt part kept coming. E506 named the endpoint and the reason only, so that the crashes could not be related to a part, nor the requests that had been about to begin told from those in the middle of a stream. E506 now has events and parts; the codec of the platform decodes the shared parts of a prompt.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/RequestCodec.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/RequestCodec.kt
@@ -23,7 +23,9 @@
     val promptTokens: Int?,
     val outputTokensMax: Int?,
     /** Last event that the caller received from an earlier response. */
-    val lastEventId: String?
+    val lastEventId: String?,
+    /** Ids of the parts of the prompt that other requests may have in common with this one. */
+    val promptParts: List<String> = emptyList()
 )
 
 /** Metadata sent to an endpoint with a request. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -91,6 +91,10 @@
     var endpoint: FleetEndpoint? = null
         private set
 
+    /** Number of times that the current or last attempt received complete events. */
+    var attemptEvents = 0
+        private set
+
     /** Time at which the endpoint last sent data, or the start of the attempt if none was sent. */
     var lastProgressMillis = 0L
         private set
@@ -126,6 +130,7 @@
         responseHead = null
         eventSplitter = null
         bufferedBody = ByteArrayOutputStream(0)
+        attemptEvents = 0
         lastProgressMillis = monotonicMillis()
         target.onAttempt(lastProgressMillis)
         newExchange.start(connectTimeoutMillis)
@@ -254,6 +259,7 @@
         }
         if (batch == null) return
         commit()
+        attemptEvents++
         batch.lastEventId?.let { lastEventId = it }
         connection.writeChunk(batch.bytes)
     }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -277,6 +277,8 @@
             put("reason", reason)
             put("outcome", outcome.name)
             put("sends", call.executedAttempts)
+            put("events", call.attemptEvents)
+            put("parts", call.metadata.promptParts.joinToString(","))
         }
         val history =
             AttemptHistory(
