Refuse requests that crash endpoints one after the other

Cause: an entry handled each lost response alone. It retried the request at another endpoint within the route's limit, and the next request with the part was a new one for it; nothing related crashes to what the requests had in common.

Change: CrashSuspects (core) counts, per prompt part and per whole request, the crashes of endpoints at which a request was about to begin. A lost attempt is a crash only if the endpoint is found to be down. A response that progresses clears its fingerprints; crashes that are not one after the other count once; a crash counts against the fingerprint that has most of them; nothing is refused while the service answers nothing else. From the third crash on the request is refused with 503, or 502 if it may have been executed. Entries exchange evidence in datagrams that the agents relay (CrashEvidence), repeated once a second, so that an entry that starts knows what is refused. Load reports say whether the endpoint responds. E511 and E513, one counter and one gauge show it.

Evidence: GatewayTest "are refused without being executed after three crashes" fails with the check taken out (502 and another crash) and passes with it. CrashSuspectsSimulationTest runs 4 to 12 entries with lossy relay, other crashes and a restart: at most three late sends, sound requests refused below 1 %.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -57,5 +57,6 @@
     RESPONSE_ABORTED(508, "response aborted"),
     ENDPOINT_COLD(510, "endpoint became cold and its limit was lowered"),
     ENDPOINT_CRASHED(511, "endpoint crashed and the crash was counted against its requests"),
-    ENDPOINT_DRAINING(512, "endpoint accepts no new requests")
+    ENDPOINT_DRAINING(512, "endpoint accepts no new requests"),
+    FINGERPRINT_REFUSED(513, "requests with a fingerprint are refused because they crash endpoints")
 }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -70,6 +70,7 @@
     private var consecutiveTransportFailures = 0
     private var backoffUntilMillis = 0L
     private var isAddressReused = false
+    private var unresponsiveMillis = Long.MIN_VALUE
 
     /** Whether a more recently started endpoint is listed at the same address. */
     var isSuperseded = false
@@ -94,6 +95,7 @@
         if (isOlder) return
         report = changed
         reportReceivedMillis = nowMillis
+        if (!changed.isResponding) unresponsiveMillis = nowMillis
         inFlightChangeSinceReport = 0
         allottedFreeSlots = allottedFreeSlots(changed, record.slots)
     }
@@ -181,6 +183,9 @@
         }
     }
 
+    /** Whether the endpoint did not respond to its agent at some time from [millis] on. */
+    fun wasUnresponsiveSince(millis: Long): Boolean = unresponsiveMillis >= millis
+
     /** Moving average of recent failures, which decays within seconds. */
     fun score(nowMillis: Long): Double =
         failureScore * exp(-(nowMillis - scoreUpdatedMillis) / SCORE_DECAY_MILLIS)
@@ -235,6 +240,15 @@
     /** Returns the endpoint with [id], or null when it is unknown. */
     fun find(id: EndpointId): FleetEndpoint? = endpoints[id]
 
+    /** Whether the endpoint of [attempt] went down at about the time at which it was lost. */
+    fun hasCrashed(attempt: LostAttempt): Boolean {
+        val known = endpoints[attempt.endpoint.id]
+        return known == null ||
+            known.isSuperseded ||
+            known.record.startedAtMillis != attempt.endpoint.startedAtMillis ||
+            known.wasUnresponsiveSince(attempt.lostMillis - CRASH_SLACK_MILLIS)
+    }
+
     /** All endpoints. */
     fun all(): Collection<FleetEndpoint> = endpoints.values
 
@@ -304,5 +318,8 @@
     private companion object {
         // Listings that expired during a store outage are renewed within about two seconds.
         const val UNLISTED_GRACE_MILLIS = 2000L
+
+        // The agent may notice that its endpoint is down before the entry sees a reset.
+        const val CRASH_SLACK_MILLIS = 500L
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsSimulationTest.kt
@@ -0,0 +1,238 @@
+package org.toucanspur.core.gateway
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import java.util.PriorityQueue
+import kotlin.random.Random
+import org.toucanspur.schema.EndpointId
+import org.toucanspur.schema.SuspectEvidence
+
+private const val BEGIN_MILLIS = 90L
+private const val STREAM_MILLIS = 900L
+private const val DOWN_MILLIS = 4000L
+private const val END_MILLIS = 26_000L
+private const val DEADLY_FROM_MILLIS = 4000L
+private const val STABILITY_MILLIS = 3000L
+
+private data class Scenario(
+    val entries: Int,
+    val endpoints: Int,
+    val soundPerSecond: Int,
+    val deadlyPerSecond: Double,
+    val datagramLoss: Double = 0.0,
+    /** Period at which one endpoint crashes for another reason, 0 for never. */
+    val otherCrashMillis: Long = 0,
+    val entryRestartMillis: Long = 0,
+    val seed: Int = 1
+)
+
+private class SimulatedRequest(val entry: Int, val fingerprints: List<Fingerprint>) {
+    val isDeadly = DEADLY in fingerprints
+    var sends = 0
+}
+
+private val DEADLY = partFingerprint(writers, "deadly")
+
+private class Running(
+    val request: SimulatedRequest,
+    val endpoint: Int,
+    val run: EndpointRun,
+    val sentMillis: Long
+) {
+    var hasProgressed = false
+    var isOver = false
+}
+
+/** Entries that send streams to endpoints; those with [DEADLY] crash the endpoint as they begin. */
+private class Simulation(private val scenario: Scenario) {
+    private val random = Random(scenario.seed)
+    private val tables = MutableList(scenario.entries) { CrashSuspects() }
+    private val sentRevisions = LongArray(scenario.entries)
+    private val upAtMillis = LongArray(scenario.endpoints)
+    private val runs = LongArray(scenario.endpoints) { 1 }
+    private val running = List(scenario.endpoints) { ArrayList<Running>() }
+    private val actions = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
+    private var nowMillis = 0L
+
+    /** Times at which endpoints crashed on the part. */
+    val deadlyCrashes = ArrayList<Long>()
+
+    /** Times at which a request with the part was sent. */
+    val deadlySends = ArrayList<Long>()
+    var soundRefused = 0
+    var soundRequests = 0
+    val refusingEntries get() = tables.count { it.isRefused(writers, listOf(DEADLY), nowMillis) }
+
+    private fun at(millis: Long, action: () -> Unit) {
+        actions += millis to action
+    }
+
+    fun run(): Simulation {
+        every(1000.0 / scenario.soundPerSecond, 0) { arrive(isDeadly = false) }
+        if (scenario.deadlyPerSecond > 0) {
+            every(1000 / scenario.deadlyPerSecond, DEADLY_FROM_MILLIS) { arrive(isDeadly = true) }
+        }
+        if (scenario.otherCrashMillis > 0) {
+            every(scenario.otherCrashMillis.toDouble(), 0) { crashAny() }
+        }
+        every(200.0, 0) { exchange(isNews = true) }
+        every(1000.0, 0) { exchange(isNews = false) }
+        if (scenario.entryRestartMillis > 0) {
+            at(scenario.entryRestartMillis) { tables[0] = CrashSuspects() }
+        }
+        while (actions.peek().first <= END_MILLIS) {
+            val (millis, action) = actions.poll()
+            nowMillis = millis
+            action()
+        }
+        return this
+    }
+
+    private fun every(periodMillis: Double, fromMillis: Long, action: () -> Unit) {
+        fun next(millis: Double) {
+            at(millis.toLong()) {
+                action()
+                next(millis + periodMillis * random.nextDouble(0.5, 1.5))
+            }
+        }
+        next(fromMillis + periodMillis)
+    }
+
+    private fun arrive(isDeadly: Boolean) {
+        val middle = if (isDeadly) DEADLY else partFingerprint(writers, "m${random.nextInt(40)}")
+        val first = partFingerprint(writers, "first${random.nextInt(2)}")
+        val own = Fingerprint(random.nextLong())
+        val request = SimulatedRequest(random.nextInt(scenario.entries), listOf(first, middle, own))
+        if (!isDeadly) soundRequests++
+        send(request)
+    }
+
+    private fun send(request: SimulatedRequest) {
+        if (tables[request.entry].isRefused(writers, request.fingerprints, nowMillis)) {
+            if (!request.isDeadly) soundRefused++
+            return
+        }
+        val up = upAtMillis.indices.filter { upAtMillis[it] <= nowMillis }
+        if (up.isEmpty()) return
+        val endpoint = up.random(random)
+        val run = EndpointRun(EndpointId("e$endpoint"), runs[endpoint])
+        val started = Running(request, endpoint, run, nowMillis)
+        request.sends++
+        if (request.isDeadly) deadlySends += nowMillis
+        running[endpoint] += started
+        at(nowMillis + BEGIN_MILLIS) { begin(started) }
+    }
+
+    private fun begin(started: Running) {
+        if (started.isOver) return
+        if (started.request.isDeadly) {
+            deadlyCrashes += nowMillis
+            crash(started.endpoint)
+            return
+        }
+        started.hasProgressed = true
+        val table = tables[started.request.entry]
+        table.onProgress(writers, started.request.fingerprints, nowMillis)
+        at(nowMillis + STREAM_MILLIS) {
+            started.isOver = true
+            running[started.endpoint] -= started
+        }
+    }
+
+    private fun crashAny() {
+        val up = upAtMillis.indices.filter { upAtMillis[it] <= nowMillis }
+        if (up.isNotEmpty()) crash(up.random(random))
+    }
+
+    private fun crash(endpoint: Int) {
+        upAtMillis[endpoint] = nowMillis + DOWN_MILLIS
+        runs[endpoint]++
+        val lost = running[endpoint].toList()
+        running[endpoint].clear()
+        val lostMillis = nowMillis
+        lost.forEach {
+            it.isOver = true
+            if (it.hasProgressed) return@forEach
+            val attempt =
+                LostAttempt(it.run, it.request.fingerprints, it.sentMillis, lostMillis)
+            tables[it.request.entry].onLost(attempt)
+            if (it.request.sends < 2) send(it.request)
+        }
+        at(nowMillis + random.nextLong(100, 400)) {
+            tables.forEach { it.confirm(nowMillis) { attempt -> isDown(attempt) } }
+        }
+    }
+
+    private fun isDown(attempt: LostAttempt): Boolean {
+        val endpoint = attempt.endpoint.id.value.drop(1).toInt()
+        return runs[endpoint] != attempt.endpoint.startedAtMillis
+    }
+
+    private fun exchange(isNews: Boolean) = tables.forEachIndexed { index, table ->
+        if (isNews && sentRevisions[index] == table.revision) return@forEachIndexed
+        sentRevisions[index] = table.revision
+        val evidence = table.evidence(nowMillis)
+        repeat(if (isNews) 3 else 2) {
+            if (random.nextDouble() >= scenario.datagramLoss) relay(index, evidence)
+        }
+    }
+
+    private fun relay(sender: Int, evidence: List<SuspectEvidence>) =
+        tables.indices.filter { it != sender }.forEach { receiver ->
+            if (random.nextDouble() >= scenario.datagramLoss) {
+                at(nowMillis + random.nextLong(2, 20)) {
+                    tables[receiver].merge(evidence, nowMillis)
+                }
+            }
+        }
+
+    /** Requests with the part that were sent later than the stability window after crash five. */
+    fun lateSends(): Int {
+        val bound = (deadlyCrashes.getOrNull(4) ?: return 0) + STABILITY_MILLIS
+        return deadlySends.count { it > bound }
+    }
+}
+
+private val scenarios = buildList {
+    for (seed in 1..10) {
+        add(Scenario(5, 11, 170, 3.5, seed = seed))
+        add(Scenario(4, 6, 95, 2.0, seed = seed))
+        add(Scenario(12, 60, 600, 12.0, seed = seed))
+        add(Scenario(5, 11, 170, 1.0, datagramLoss = 0.3, seed = seed))
+        add(Scenario(5, 11, 170, 3.5, datagramLoss = 0.3, otherCrashMillis = 1500, seed = seed))
+    }
+}
+
+class CrashSuspectsSimulationTest :
+    DescribeSpec({
+        describe("requests with a part that crashes endpoints") {
+            it("stop reaching endpoints within the stability window after the fifth crash") {
+                scenarios.forAll { Simulation(it).run().lateSends() shouldBeLessThanOrEqual 3 }
+            }
+            it("are refused by all entries, one that restarted among them") {
+                scenarios.forAll {
+                    val simulation = Simulation(it.copy(entryRestartMillis = 15_000)).run()
+                    simulation.refusingEntries shouldBe it.entries
+                    simulation.lateSends() shouldBeLessThanOrEqual 3
+                }
+            }
+            it("do not take sound requests with them") {
+                scenarios.forAll {
+                    val simulation = Simulation(it).run()
+                    simulation.soundRefused shouldBeLessThanOrEqual simulation.soundRequests / 100
+                }
+            }
+        }
+        describe("sound requests") {
+            it("are not refused while endpoints crash for other reasons") {
+                (1..20).toList().forAll { seed ->
+                    val simulation = Simulation(
+                        Scenario(5, 11, 170, 0.0, 0.3, otherCrashMillis = 700, seed = seed)
+                    ).run()
+                    simulation.soundRefused shouldBe 0
+                }
+            }
+        }
+    })
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -49,6 +49,7 @@
 import org.toucanspur.platform.TargetVersion
 import org.toucanspur.platform.decodeConfiguration
 import org.toucanspur.platform.decodeEndpoint
+import org.toucanspur.schema.CrashEvidence
 import org.toucanspur.schema.Frame
 import org.toucanspur.schema.LoadQuery
 import org.toucanspur.schema.ModelId
@@ -343,6 +344,7 @@
     private fun onFrame(frame: Frame, sender: InetSocketAddress) {
         when (frame) {
             is LoadQuery -> loadReporter.onQuery(sender)
+            is CrashEvidence -> loadReporter.relay(frame, sender)
             is PieceStatus -> onStatus(frame, sender)
             else -> Unit
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
@@ -9,6 +9,8 @@
 import org.toucanspur.core.weights.EngineReport
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.Datagrams
+import org.toucanspur.daemon.transport.encodeFrame
+import org.toucanspur.schema.CrashEvidence
 import org.toucanspur.schema.LoadReport
 import org.toucanspur.schema.ModelId
 import org.toucanspur.schema.VmId
@@ -28,6 +30,12 @@
         subscribers[entry] = monotonicMillis()
     }
 
+    /** Relays [evidence] of one entry to the others. */
+    fun relay(evidence: CrashEvidence, sender: InetSocketAddress) {
+        val encoded = encodeFrame(evidence)
+        subscribers.keys.filter { it != sender }.forEach { datagrams.sendEncoded(encoded, it) }
+    }
+
     /** Reports the state of the endpoint; [report] is null when the endpoint does not respond. */
     fun push(report: EngineReport?, model: ModelId?, isLoading: Boolean, nextLoadMillis: Long) {
         val now = monotonicMillis()
@@ -45,7 +53,8 @@
             pacePercent = report?.pacePercent ?: DEFAULT_PACE_PERCENT,
             periodMillis = periodMillis,
             entries = subscribers.size,
-            entryIndex = 0
+            entryIndex = 0,
+            isResponding = report != null
         )
         if (next == lastReport &&
             now - lastSentMillis < maxOf(IDLE_PERIOD_MILLIS, 2 * periodMillis)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -11,8 +11,10 @@
 import org.toucanspur.core.gateway.AttemptOutcome
 import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallerRequestMetadata
+import org.toucanspur.core.gateway.EndpointRun
 import org.toucanspur.core.gateway.EndpointSignal
 import org.toucanspur.core.gateway.EventStreamSplitter
+import org.toucanspur.core.gateway.Fingerprint
 import org.toucanspur.core.gateway.FleetEndpoint
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.core.gateway.Organisation
@@ -20,6 +22,8 @@
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
+import org.toucanspur.core.gateway.partFingerprint
+import org.toucanspur.core.gateway.requestFingerprint
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.RequestId
@@ -29,6 +33,9 @@
     /** Codec for request and response headers. */
     val codec: RequestCodec
 
+    /** Observer of attempts that are lost. */
+    val crashes: CrashObserver
+
     /** Called when an attempt ends with [outcome]; the call may be sent to another endpoint. */
     fun onAttemptFailed(call: Call, outcome: AttemptOutcome, reason: String)
 
@@ -91,6 +98,26 @@
     var endpoint: FleetEndpoint? = null
         private set
 
+    /** What the call has in common with others that may crash endpoints. */
+    val fingerprints: List<Fingerprint> by lazy(LazyThreadSafetyMode.NONE) {
+        metadata.promptParts.map { partFingerprint(service.id, it) } +
+            requestFingerprint(
+                service.id,
+                organisation?.id,
+                request.head.method().name(),
+                request.head.uri(),
+                request.body
+            )
+    }
+
+    /** Time at which the current or last attempt began. */
+    var sentMillis = 0L
+        private set
+
+    /** Run of the endpoint to which the current or last attempt was sent. */
+    var endpointRun: EndpointRun? = null
+        private set
+
     /** Number of times that the current or last attempt received complete events. */
     var attemptEvents = 0
         private set
@@ -123,16 +150,26 @@
     /** Whether the call is currently at an endpoint. */
     val isSent: Boolean get() = exchange != null
 
+    /** Whether the response shows that the endpoint of the attempt runs the call. */
+    val hasProgressed: Boolean
+        get() = if (eventSplitter == null) {
+            responseHead != null
+        } else {
+            attemptEvents >= PROGRESS_EVENTS
+        }
+
     /** Sends the call to [target] through [newExchange]. */
     fun send(target: FleetEndpoint, newExchange: EndpointExchange, connectTimeoutMillis: Int) {
         endpoint = target
+        endpointRun = EndpointRun(target.record.id, target.record.startedAtMillis)
         exchange = newExchange
         responseHead = null
         eventSplitter = null
         bufferedBody = ByteArrayOutputStream(0)
         attemptEvents = 0
-        lastProgressMillis = monotonicMillis()
-        target.onAttempt(lastProgressMillis)
+        sentMillis = monotonicMillis()
+        lastProgressMillis = sentMillis
+        target.onAttempt(sentMillis)
         newExchange.start(connectTimeoutMillis)
     }
 
@@ -212,6 +249,7 @@
         val type = response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
         val isStream = route.kind == CallKind.STREAM && status in SUCCESS
         if (isStream || type.startsWith(EVENT_STREAM)) eventSplitter = EventStreamSplitter()
+        if (hasProgressed) delegate.crashes.onProgress(this)
     }
 
     private fun onNotExecuted(status: Int) {
@@ -238,7 +276,12 @@
 
     private fun failAttempt(observation: EndpointSignal, outcome: AttemptOutcome, reason: String) {
         exchange?.cancel()
-        endpoint?.let { delegate.onEndpointObservation(this, it, observation) }
+        endpoint?.let {
+            delegate.onEndpointObservation(this, it, observation)
+            val wasLost = observation == EndpointSignal.TRANSPORT_FAILURE &&
+                outcome == AttemptOutcome.MAY_HAVE_RUN
+            if (wasLost) delegate.crashes.onLost(this)
+        }
         recordAttempt(outcome)
         releaseEndpoint()
         delegate.onAttemptFailed(this, outcome, reason)
@@ -260,6 +303,7 @@
         if (batch == null) return
         commit()
         attemptEvents++
+        if (attemptEvents == PROGRESS_EVENTS) delegate.crashes.onProgress(this)
         batch.lastEventId?.let { lastEventId = it }
         connection.writeChunk(batch.bytes)
     }
@@ -289,6 +333,7 @@
             onBrokenResponse("stream ended within an event")
             return
         }
+        if (!hasProgressed && attemptEvents > 0) delegate.crashes.onProgress(this)
         val response = responseHead
         val status = response?.status()?.code() ?: OK
         recordAttempt(AttemptOutcome.MAY_HAVE_RUN)
@@ -325,6 +370,9 @@
         const val OK = 200
         const val MISDIRECTED = 421
         const val FIRST_SERVER_ERROR = 500
+
+        // An endpoint may crash right after the first event.
+        const val PROGRESS_EVENTS = 2
         const val EVENT_STREAM = "text/event-stream"
 
         // Responses up to this size are buffered until they are complete, so that the request can
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -36,6 +36,7 @@
     private val metrics: GatewayMetrics
 ) : CallDelegate {
     private val admission = CallAdmission(state)
+    override val crashes = CrashObserver(state, log, metrics)
     private val queue = CallQueue<Call>(QUEUE_MAX)
     private val activeCalls = LinkedHashSet<Call>()
     private val maxRemainingMillis = HashMap<String, Long>()
@@ -97,6 +98,10 @@
 
     private fun sendOrQueue(call: Call, isFirstAttempt: Boolean) {
         val now = monotonicMillis()
+        crashes.refusal(call, now)?.let {
+            refuse(call, it)
+            return
+        }
         val placement = place(call, now)
         if (placement is Placement.Send) {
             send(call, placement)
@@ -164,6 +169,10 @@
 
     private fun send(call: Call, placement: Placement.Send) {
         val now = monotonicMillis()
+        crashes.refusal(call, now)?.let {
+            refuse(call, it)
+            return
+        }
         val endpoint = placement.endpoint
         val versionMin = versionMin(call, now)
         val isResumed = call.isResumable && call.isCommitted
@@ -372,6 +381,7 @@
 
     private fun tick() {
         val now = monotonicMillis()
+        crashes.confirm(now)
         drainQueue()
         queue.removeExpired(now).forEach { onWaitExpired(it, now) }
         activeCalls.filter { it.isSent && it.route.isRepeatable }.forEach { checkStall(it, now) }
@@ -423,6 +433,7 @@
             put("reason", "silent")
             put("silentMillis", nowMillis - call.lastProgressMillis)
         }
+        crashes.onLost(call)
         call.cancelAttempt()
         call.mayHaveExecuted = true
         send(call, placement)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -66,6 +66,9 @@
         ProbeServer(loop, mapOf("/metrics" to registry::scrape)).start(metrics)
         registry.gauge("toucanspur.requests.active", dispatcher) { it.activeCount.toDouble() }
         registry.gauge("toucanspur.callers.connections", server) { it.connectionCount.toDouble() }
+        registry.gauge("toucanspur.fingerprints.refused", state) {
+            it.crashSuspects.refusedCount.toDouble()
+        }
         loop.scheduleRepeating(FRESHNESS_CHECK_MILLIS, ::checkFreshness)
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
@@ -20,6 +20,9 @@
     /** Requests whose caller disconnected before the response was complete. */
     val abandoned = registry.counter("toucanspur.requests.abandoned")
 
+    /** Requests that were refused because requests of their kind crash endpoints. */
+    val crashSuspects = registry.counter("toucanspur.requests.suspected")
+
     private val firstByte = timer("toucanspur.requests.first.byte")
     private val total = timer("toucanspur.requests.total")
     private val predictionError = timer("toucanspur.placement.error")
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -9,6 +9,7 @@
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.ConfigurationFreshness
+import org.toucanspur.core.gateway.CrashSuspects
 import org.toucanspur.core.gateway.Fleet
 import org.toucanspur.core.gateway.RequestPlacer
 import org.toucanspur.core.gateway.RetryBudgetLimits
@@ -54,6 +55,9 @@
     /** All known endpoints. */
     val fleet = Fleet()
 
+    /** Requests that crash endpoints. */
+    val crashSuspects = CrashSuspects()
+
     /** Freshness of the configuration. */
     val freshness = ConfigurationFreshness(
         settings.bounds.revocationMillis.toLong() - ConfigurationFreshness.MARGIN_MILLIS
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
@@ -1,6 +1,7 @@
 /*
  * Subscribes to load reports from the agents of endpoints. A query subscribes for a few seconds, so
- * that agents need no list of entries and the subscription of a stopped entry expires.
+ * that agents need no list of entries and the subscription of a stopped entry expires. The agents
+ * also relay evidence about requests that crash endpoints between the entries.
  */
 package org.toucanspur.daemon.gateway
 
@@ -9,6 +10,7 @@
 import org.toucanspur.daemon.net.Datagrams
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.daemon.transport.encodeFrame
+import org.toucanspur.schema.CrashEvidence
 import org.toucanspur.schema.Frame
 import org.toucanspur.schema.LoadQuery
 import org.toucanspur.schema.LoadReport
@@ -27,21 +29,48 @@
         ::onFrame
     )
 
+    private var sentRevision = 0L
+
     init {
         loop.scheduleRepeating(QUERY_MILLIS, ::sendQueries)
+        loop.scheduleRepeating(QUERY_MILLIS) { sendEvidence(REPEAT_AGENTS) }
+        loop.scheduleRepeating(NEWS_MILLIS) {
+            if (state.crashSuspects.revision != sentRevision) sendEvidence(NEWS_AGENTS)
+        }
     }
 
     /** Sends a query to all agents. */
-    fun sendQueries() {
-        state.fleet.all()
-            .filter { state.configuration?.services?.get(it.record.service)?.engine != null }
-            .map { it.record.host }
-            .toSet()
-            .forEach { datagrams.sendEncoded(query, InetSocketAddress(it, peerPort)) }
+    fun sendQueries() =
+        agentHosts().forEach { datagrams.sendEncoded(query, InetSocketAddress(it, peerPort)) }
+
+    private fun agentHosts(): Set<String> = state.fleet.all()
+        .filter { state.configuration?.services?.get(it.record.service)?.engine != null }
+        .map { it.record.host }
+        .toSet()
+
+    // Agents know all entries and relay the evidence to them. Evidence is sent repeatedly, because
+    // datagrams get lost and an entry that starts knows nothing.
+    private fun sendEvidence(agents: Int) {
+        sentRevision = state.crashSuspects.revision
+        val evidence = state.crashSuspects.evidence(monotonicMillis())
+        if (evidence.isEmpty()) return
+        val encoded = evidence.chunked(DATAGRAM_EVIDENCE).map {
+            encodeFrame(CrashEvidence(state.settings.node.vm, it))
+        }
+        agentHosts().shuffled(state.random).take(agents).forEach { host ->
+            encoded.forEach { datagrams.sendEncoded(it, InetSocketAddress(host, peerPort)) }
+        }
     }
 
     private fun onFrame(frame: Frame, sender: InetSocketAddress) {
-        if (frame !is LoadReport) return
+        when (frame) {
+            is LoadReport -> onReport(frame, sender)
+            is CrashEvidence -> state.crashSuspects.merge(frame.evidence, monotonicMillis())
+            else -> Unit
+        }
+    }
+
+    private fun onReport(frame: LoadReport, sender: InetSocketAddress) {
         val now = monotonicMillis()
         val host = sender.address.hostAddress
         // A report applies only to the endpoint incarnation that the agent observed; a new one
@@ -62,5 +91,11 @@
 
     private companion object {
         const val QUERY_MILLIS = 1000L
+        const val NEWS_MILLIS = 200L
+        const val NEWS_AGENTS = 3
+        const val REPEAT_AGENTS = 2
+
+        // Keeps a datagram within one packet.
+        const val DATAGRAM_EVIDENCE = 2
     }
 }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -15,6 +15,7 @@
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallerLimits
@@ -75,6 +76,7 @@
     private val loop = NettyEventLoop()
     private val log = DecisionLog(VmId("vm"), PrintStream(ByteArrayOutputStream()))
     private val state = GatewayState(settings(), Random(1))
+    private var endpointPorts = emptyList<Int>()
     val port: Int
 
     init {
@@ -84,6 +86,7 @@
             if (isListed) state.listedKinds += ObjectKind.entries
             if (isFresh) state.freshness.renew(systemClocks.now())
             endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
+            endpointPorts = endpoints
             ready.countDown()
         }
         ready.await()
@@ -105,7 +108,20 @@
         listOf(Organisation(OrganisationId("acme"), setOf("k"), null, emptySet()))
     )
 
-    private fun record(index: Int, port: Int) = EndpointRecord(
+    /** Lists the endpoint on [endpointPort] as restarted. */
+    fun onRestart(endpointPort: Int) {
+        val listed = CountDownLatch(1)
+        loop.executor.execute {
+            val index = endpointPorts.indexOf(endpointPort)
+            state.fleet.put(record(index, endpointPort, startedAtMillis = starts++), 0)
+            listed.countDown()
+        }
+        listed.await()
+    }
+
+    private var starts = 1L
+
+    private fun record(index: Int, port: Int, startedAtMillis: Long = 0) = EndpointRecord(
         EndpointId("e$index"),
         service,
         "127.0.0.1",
@@ -116,7 +132,7 @@
         isReady = true,
         coldRemainingMillis = 0,
         loadedVersions = emptyMap(),
-        startedAtMillis = 0
+        startedAtMillis = startedAtMillis
     )
 
     /** Sends a request and returns everything received until the connection closes. */
@@ -297,6 +313,42 @@
                 closed.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS) shouldBe true
             }
         }
+        describe("requests with a part that crashes endpoints") {
+            var gateway: TestGateway? = null
+            val crashes = AtomicInteger()
+            val deadly = "Parts: first,deadly\r\n"
+            val sound = "Parts: first,other\r\n"
+            val script: (ReceivedRequest, Socket) -> Unit = { request, socket ->
+                if (request.headers["parts"].orEmpty().contains("deadly")) {
+                    crashes.incrementAndGet()
+                    gateway?.onRestart(socket.localPort)
+                } else {
+                    val events = (1..3).map(::event)
+                    socket.respondWithEvents(request, events, isComplete = true)
+                }
+            }
+            fun crashThrice(): TestGateway {
+                crashes.set(0)
+                val created = TestGateway(List(4) { endpoint(script).port })
+                gateway = created
+                repeat(2) {
+                    created.call("/stream/", extraHeaders = deadly, body = "deadly $it")
+                }
+                repeat(8) { created.call("/stream/", extraHeaders = sound) shouldContain "token3" }
+                return created
+            }
+            it("are refused without being executed after three crashes, others are served") {
+                val created = crashThrice()
+                val before = crashes.get()
+                repeat(5) {
+                    val refused = created.call("/stream/", extraHeaders = deadly, body = "new $it")
+                    refused shouldContain "503"
+                    refused shouldContain "Retry-After"
+                }
+                crashes.get() shouldBe before
+                created.call("/stream/", extraHeaders = sound) shouldContain "token3"
+            }
+        }
         describe("a connection") {
             it("serves pipelined requests") {
                 val first = endpoint { request, socket -> socket.respond(request, "fine") }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
@@ -17,7 +17,8 @@
         model = null,
         promptTokens = null,
         outputTokensMax = null,
-        lastEventId = header("Last")
+        lastEventId = header("Last"),
+        promptParts = header("Parts")?.split(',').orEmpty()
     )
 
     override fun isReplaced(name: String) = name.lowercase() in setOf("left", "key", "last")
