Test refusals of at-most-once requests that crash endpoints

The same at-most-once request is refused from its third crash on, at a service without agents; connections that are lost while the endpoints stay up count for nothing.

--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -348,6 +348,37 @@
                 crashes.get() shouldBe before
                 created.call("/stream/", extraHeaders = sound) shouldContain "token3"
             }
+            it("are refused after three crashes by the same at-most-once request") {
+                val executed = AtomicInteger()
+                var created: TestGateway? = null
+                val endpoints = List(4) {
+                    endpoint { request, socket ->
+                        if (request.body == "same") {
+                            executed.incrementAndGet()
+                            created?.onRestart(socket.localPort)
+                        } else {
+                            socket.respond(request, "fine")
+                        }
+                    }
+                }
+                val running = TestGateway(endpoints.map { it.port })
+                created = running
+                repeat(3) { running.call("/once/", body = "same") shouldContain "502" }
+                repeat(8) { running.call("/once/", body = "other") shouldContain "fine" }
+                repeat(3) { running.call("/once/", body = "same") shouldContain "503" }
+                executed.get() shouldBe 3
+            }
+            it("are served when connections are lost but no endpoint went down") {
+                val endpoints = List(4) {
+                    endpoint { request, socket ->
+                        if (request.body != "lost") socket.respond(request, "fine")
+                    }
+                }
+                val running = TestGateway(endpoints.map { it.port })
+                repeat(6) { running.call("/once/", body = "lost") shouldContain "502" }
+                repeat(8) { running.call("/once/", body = "other") shouldContain "fine" }
+                running.call("/once/", body = "lost") shouldContain "502"
+            }
         }
         describe("a connection") {
             it("serves pipelined requests") {
