--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -38,6 +38,7 @@
     private val metrics: GatewayMetrics
 ) : CallDelegate {
     private val admission = CallAdmission(state)
+    override val crashes = CrashObserver(state, log, metrics)
     private val queue = CallQueue<Call>(QUEUE_MAX)
     private val activeCalls = LinkedHashSet<Call>()
     private val maxRemainingMillis = HashMap<String, Long>()
@@ -99,6 +100,10 @@
 
     private fun sendOrQueue(call: Call, isFirstAttempt: Boolean) {
         val now = monotonicMillis()
+        crashes.refusal(call, now)?.let {
+            refuse(call, it)
+            return
+        }
         val placement = place(call, now)
         if (placement is Placement.Send) {
             send(call, placement)
@@ -166,6 +171,10 @@
 
     private fun send(call: Call, placement: Placement.Send) {
         val now = monotonicMillis()
+        crashes.refusal(call, now)?.let {
+            refuse(call, it)
+            return
+        }
         val endpoint = placement.endpoint
         val versionMin = versionMin(call, now)
         val isResumed = call.isResumable && call.isCommitted
@@ -295,6 +304,8 @@
             put("reason", reason)
             put("outcome", outcome.name)
             put("sends", call.executedAttempts)
+            put("events", call.attemptEvents)
+            put("parts", call.metadata.promptParts.joinToString(","))
         }
         val history =
             AttemptHistory(
@@ -410,6 +421,7 @@
 
     private fun tick() {
         val now = monotonicMillis()
+        crashes.confirm(now)
         drainQueue()
         queue.removeExpired(now).forEach { onWaitExpired(it, now) }
         activeCalls.filter { it.isAwaitingResponse }.forEach { checkVersion(it, now) }
@@ -472,6 +484,7 @@
             put("reason", "silent")
             put("silentMillis", nowMillis - call.lastProgressMillis)
         }
+        crashes.onLost(call)
         call.cancelAttempt()
         call.mayHaveExecuted = true
         send(call, placement)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
@@ -23,6 +23,9 @@
     /** Responses that began on an older weight version than allowed. */
     val outdated = registry.counter("toucanspur.responses.outdated")
 
+    /** Requests that were refused because requests of their kind crash endpoints. */
+    val crashSuspects = registry.counter("toucanspur.requests.suspected")
+
     private val headPending = timer("toucanspur.responses.head.pending")
     private val firstByte = timer("toucanspur.requests.first.byte")
     private val total = timer("toucanspur.requests.total")
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonPrimitive
@@ -273,6 +274,73 @@
                 gateway.outdatedCount shouldBe 1
             }
         }
+        describe("requests with a part that crashes endpoints") {
+            var gateway: TestGateway? = null
+            val crashes = AtomicInteger()
+            val deadly = "Parts: first,deadly\r\n"
+            val sound = "Parts: first,other\r\n"
+            val script: (ReceivedRequest, Socket) -> Unit = { request, socket ->
+                if (request.headers["parts"].orEmpty().contains("deadly")) {
+                    crashes.incrementAndGet()
+                    gateway?.onRestart(socket.localPort)
+                } else {
+                    val events = (1..3).map(::event)
+                    socket.respondWithEvents(request, events, isComplete = true)
+                }
+            }
+            fun crashThrice(): TestGateway {
+                crashes.set(0)
+                val created = TestGateway(List(4) { endpoint(script).port })
+                gateway = created
+                repeat(2) {
+                    created.call("/stream/", extraHeaders = deadly, body = "deadly $it")
+                }
+                repeat(8) { created.call("/stream/", extraHeaders = sound) shouldContain "token3" }
+                return created
+            }
+            it("are refused without being executed after three crashes, others are served") {
+                val created = crashThrice()
+                val before = crashes.get()
+                repeat(5) {
+                    val refused = created.call("/stream/", extraHeaders = deadly, body = "new $it")
+                    refused shouldContain "503"
+                    refused shouldContain "Retry-After"
+                }
+                crashes.get() shouldBe before
+                created.call("/stream/", extraHeaders = sound) shouldContain "token3"
+            }
+            it("are refused after three crashes by the same at-most-once request") {
+                val executed = AtomicInteger()
+                var created: TestGateway? = null
+                val endpoints = List(4) {
+                    endpoint { request, socket ->
+                        if (request.body == "same") {
+                            executed.incrementAndGet()
+                            created?.onRestart(socket.localPort)
+                        } else {
+                            socket.respond(request, "fine")
+                        }
+                    }
+                }
+                val running = TestGateway(endpoints.map { it.port })
+                created = running
+                repeat(3) { running.call("/once/", body = "same") shouldContain "502" }
+                repeat(8) { running.call("/once/", body = "other") shouldContain "fine" }
+                repeat(3) { running.call("/once/", body = "same") shouldContain "503" }
+                executed.get() shouldBe 3
+            }
+            it("are served when connections are lost but no endpoint went down") {
+                val endpoints = List(4) {
+                    endpoint { request, socket ->
+                        if (request.body != "lost") socket.respond(request, "fine")
+                    }
+                }
+                val running = TestGateway(endpoints.map { it.port })
+                repeat(6) { running.call("/once/", body = "lost") shouldContain "502" }
+                repeat(8) { running.call("/once/", body = "other") shouldContain "fine" }
+                running.call("/once/", body = "lost") shouldContain "502"
+            }
+        }
         describe("a connection") {
             it("serves pipelined requests") {
                 val first = endpoint { request, socket -> socket.respond(request, "fine") }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -76,7 +76,7 @@
 
 /** A gateway in front of scripted endpoints on the ports [endpoints]. */
 class TestGateway(
-    endpoints: List<Int>,
+    private val endpoints: List<Int>,
     isFresh: Boolean = true,
     isListed: Boolean = true,
     private val targetMillis: Long = CALL_SECONDS * 1000L,
@@ -88,6 +88,7 @@
     /** Events that the gateway logs. */
     val events = LogCapture()
     private val state = GatewayState(settings(), Random(1))
+    private var starts = 0L
 
     /** Port for callers on the loopback address. */
     val port: Int
@@ -127,7 +128,8 @@
         index: Int,
         port: Int,
         recordService: ServiceId = service,
-        versions: Map<ModelId, Long> = mapOf(model to 3)
+        versions: Map<ModelId, Long> = mapOf(model to 3),
+        startedAtMillis: Long = 0
     ) = EndpointRecord(
         EndpointId("e$index"),
         recordService,
@@ -139,9 +141,15 @@
         isReady = true,
         coldRemainingMillis = 0,
         loadedVersions = versions,
-        startedAtMillis = 0
+        startedAtMillis = startedAtMillis
     )
 
+    /** Lists the endpoint on [endpointPort] as restarted. */
+    fun onRestart(endpointPort: Int) = onLoop {
+        val index = endpoints.indexOf(endpointPort)
+        state.fleet.put(record(index, endpointPort, startedAtMillis = ++starts), 0)
+    }
+
     /** Lists an engine on [port] that has loaded [version]. */
     fun addEngine(port: Int, version: Long) = onLoop {
         val versions = mapOf(model to version)
