Limit the bytes and the time up to the end of a response head

Callers saw: status 504 at the deadline instead of a retry or status 502, when an endpoint slowly sent control characters, a part of a head, or interim responses without end.

Cause: the codec bounds the length of the status line and the headers, not the time, and skips control characters before the status line and interim responses without limit.

Change: ResponseHeadLimiter fails a connection on which more than 16 KiB arrive before a final response head, or on which a head is not complete a second after its first byte. The client for store, origin and engines uses it too; there, the time limit of the call applied before.

Bytes that arrive fast, chunk extensions, trailers, bytes after a response and events without end were already bounded. The limits of the client for store, origin and engines have no test of their own.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
@@ -23,8 +22,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
-import org.toucanspur.daemon.net.InterimResponseFilter
 import org.toucanspur.daemon.net.NettyEventLoop
+import org.toucanspur.daemon.net.addResponseDecoder
 
 /** Callbacks of an exchange; [onEnd] or [onFailure] is the last one. */
 interface ExchangeListener {
@@ -59,7 +58,8 @@
     /** Connects to the endpoint and sends the request. */
     fun start(connectTimeoutMillis: Int) {
         val future = loop.connect(request.address, connectTimeoutMillis) {
-            it.pipeline().addLast(HttpClientCodec(), InterimResponseFilter(), ResponseHandler())
+            it.pipeline().addResponseDecoder()
+            it.pipeline().addLast(ResponseHandler())
         }
         channel = future.channel()
         future.addListener { if (it.isSuccess) send() else fail("not connected: ${it.cause()}") }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -15,7 +15,6 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
@@ -65,9 +64,8 @@
         fun start() {
             val connectMillis = minOf(call.timeoutMillis, CONNECT_TIMEOUT_MILLIS).toInt()
             val future = loop.connect(socketAddress(call.address), connectMillis) {
+                it.pipeline().addResponseDecoder()
                 it.pipeline().addLast(
-                    HttpClientCodec(),
-                    InterimResponseFilter(),
                     HttpObjectAggregator(RESPONSE_MAX_BYTES),
                     ResponseHandler()
                 )
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/ResponseHeadLimiter.kt
@@ -0,0 +1,88 @@
+/*
+ * Fails a connection whose peer sends bytes but no response head. The codec bounds each line and
+ * the headers, but skips control characters before the status line and interim responses without
+ * end.
+ */
+package org.toucanspur.daemon.net
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelPipeline
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.concurrent.ScheduledFuture
+import java.net.ProtocolException
+import java.util.concurrent.TimeUnit
+
+/** Adds the handlers that decode the final responses of an HTTP connection. */
+fun ChannelPipeline.addResponseDecoder() {
+    val limiter = ResponseHeadLimiter()
+    addLast(limiter, HttpClientCodec(), limiter.observer, InterimResponseFilter())
+}
+
+/** Limits the bytes and the time from the first byte of a response to the end of its head. */
+private class ResponseHeadLimiter : ChannelInboundHandlerAdapter() {
+    private var isHeadPending = true
+    private var headBytes = 0
+    private var timer: ScheduledFuture<*>? = null
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        val readBytes = (message as ByteBuf).readableBytes()
+        context.fireChannelRead(message)
+        if (!isHeadPending || !context.channel().isActive) return
+        headBytes += readBytes
+        if (headBytes > HEAD_MAX_BYTES) {
+            fail(context, "response head exceeds $HEAD_MAX_BYTES bytes")
+        } else if (timer == null) {
+            val expire = Runnable { fail(context, "response head is incomplete") }
+            timer = context.executor().schedule(expire, HEAD_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private fun fail(context: ChannelHandlerContext, reason: String) {
+        stopTimer()
+        context.fireExceptionCaught(ProtocolException(reason))
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        stopTimer()
+        context.fireChannelInactive()
+    }
+
+    private fun stopTimer() {
+        timer?.cancel(false)
+        timer = null
+    }
+
+    /** Observes the decoded responses. */
+    val observer = object : ChannelInboundHandlerAdapter() {
+        private var isInterim = false
+
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (message is HttpResponse) onHead(message)
+            if (message is HttpContent && message is LastHttpContent && !isInterim) {
+                isHeadPending = true
+                headBytes = 0
+            }
+            context.fireChannelRead(message)
+        }
+
+        private fun onHead(response: HttpResponse) {
+            stopTimer()
+            isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+            isHeadPending = isInterim
+        }
+    }
+
+    private companion object {
+        // The codec accepts a status line and headers of 12 KiB; the rest is for interim responses.
+        const val HEAD_MAX_BYTES = 16 * 1024
+
+        // Servers write a head at once; a second suffices for its retransmission.
+        const val HEAD_TIMEOUT_MILLIS = 1000L
+    }
+}
