Do not relay a long response without a seal

Callers saw: an error response without end, up to the deadline, when an endpoint sent an error status and then bytes without end on a request that may not be repeated.

Cause: a successful response needs a seal, an error response does not. Beyond 128 KiB it was relayed like any other.

Change: Call treats a response without a seal that exceeds the buffer as broken.

Evidence: in EndlessResponseTest "is answered with 502 after an error status" the caller received bytes until the heap of the test was full (OutOfMemoryError) before; it receives 502 now.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -112,6 +112,7 @@
     private var responseHead: HttpResponse? = null
     private var eventSplitter: EventStreamSplitter? = null
     private var bufferedBody = ByteArrayOutputStream(0)
+    private var isSealed = false
 
     /** Whether a stream may be resumed at another endpoint. */
     val isResumable: Boolean get() = route.kind == CallKind.STREAM && route.isResumable
@@ -204,6 +205,7 @@
             return
         }
         responseHead = response
+        isSealed = delegate.codec.isSealed { response.headers().get(it) }
         val type = response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
         val isStream = route.kind == CallKind.STREAM && status in SUCCESS
         if (isStream || type.startsWith(EVENT_STREAM)) eventSplitter = EventStreamSplitter()
@@ -265,6 +267,10 @@
         }
         bufferedBody.write(bytes, 0, bytes.size)
         if (bufferedBody.size() <= BUFFERED_MAX_BYTES) return
+        if (!isSealed) {
+            onBrokenResponse("response without a seal is too long")
+            return
+        }
         commit()
         connection.writeChunk(bufferedBody.toByteArray())
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/EndlessResponseTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/EndlessResponseTest.kt
@@ -119,6 +119,13 @@
                 response shouldContain "502"
                 response shouldNotContain "~"
             }
+            it("is answered with 502 after an error status") {
+                val response = callOne("/once/") { _, socket ->
+                    socket.sendEndless("HTTP/1.1 500 Broken\r\n\r\n", "~".repeat(1000))
+                }
+                response shouldContain "502"
+                response shouldNotContain "~"
+            }
             it("is broken off at the deadline with a seal") {
                 val response = callOne("/once/", "Left: 1500\r\n") { _, socket ->
                     socket.sendEndless("$SEALED_HEAD\r\n", "~".repeat(1000))
