Limit the time and the size of the status responses of an endpoint

Operators saw: an agent that stopped probing its endpoint, and whose memory grew, when the endpoint sent a health or status response with a body without end.

Cause: the timeout of the JDK client ends with the response head. The body of a status was read without limit of time or size; that of a health check or a load order without limit of time.

Change: one time limit covers the whole response, and a body of more than 64 KiB fails.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/agent/EndpointClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/agent/EndpointClient.kt
@@ -5,16 +5,21 @@
  */
 package org.toucanspur.daemon.agent
 
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import java.net.http.HttpTimeoutException
 import java.nio.ByteBuffer
 import java.time.Duration
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CompletionStage
 import java.util.concurrent.Flow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.future.await
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -26,6 +31,9 @@
 private const val STATUS_TIMEOUT_MILLIS = 2000L
 private const val READ_BUFFER_BYTES = 4096
 
+// A status is well below 1 KiB.
+private const val STATUS_MAX_BYTES = 64 * 1024
+
 /** Header that requests the continuation of a response from a byte offset. */
 const val RESUME_OFFSET_HEADER = "Toucanspur-Resume-Offset"
 
@@ -123,12 +131,10 @@
 
     /** Reads the status of the engine. */
     suspend fun status(): EngineStatus {
-        val request = HttpRequest.newBuilder(URI("$baseUrl/admin/status"))
-            .timeout(Duration.ofMillis(STATUS_TIMEOUT_MILLIS))
-            .build()
-        val response = client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).await()
+        val request = HttpRequest.newBuilder(URI("$baseUrl/admin/status")).build()
+        val response = exchange(request, STATUS_TIMEOUT_MILLIS, STATUS_MAX_BYTES)
         return try {
-            Json.decodeFromString<EngineStatus>(response.body())
+            Json.decodeFromString<EngineStatus>(response.body().decodeToString())
         } catch (e: SerializationException) {
             throw IOException("engine status is malformed: ${e.message}", e)
         }
@@ -136,11 +142,8 @@
 
     /** Whether the health check of a service that is not an engine succeeds. */
     suspend fun isHealthy(): Boolean = try {
-        val request = HttpRequest.newBuilder(URI("$baseUrl/health"))
-            .timeout(Duration.ofMillis(STATUS_TIMEOUT_MILLIS))
-            .build()
-        client.sendAsync(request, HttpResponse.BodyHandlers.discarding()).await().statusCode() <
-            HTTP_ERROR
+        val request = HttpRequest.newBuilder(URI("$baseUrl/health")).build()
+        exchange(request, STATUS_TIMEOUT_MILLIS, STATUS_MAX_BYTES).statusCode() < HTTP_ERROR
     } catch (_: IOException) {
         false
     }
@@ -148,7 +151,6 @@
     /** Requests a load; returns whether the engine accepted it. */
     suspend fun load(loadRequest: EngineLoadRequest, timeoutMillis: Long): Boolean {
         val request = HttpRequest.newBuilder(URI("$baseUrl/admin/load"))
-            .timeout(Duration.ofMillis(timeoutMillis))
             .header("Content-Type", "application/json")
             .POST(
                 HttpRequest.BodyPublishers.ofString(
@@ -156,15 +158,58 @@
                 )
             )
             .build()
-        val response = client.sendAsync(request, HttpResponse.BodyHandlers.discarding()).await()
-        return response.statusCode() < HTTP_ERROR
+        return exchange(request, timeoutMillis, STATUS_MAX_BYTES).statusCode() < HTTP_ERROR
     }
 
+    // The timeout of the JDK client ends with the head of the response; this one covers its body.
+    private suspend fun exchange(
+        request: HttpRequest,
+        timeoutMillis: Long,
+        bodyMaxBytes: Int
+    ): HttpResponse<ByteArray> = withTimeoutOrNull(timeoutMillis) {
+        client.sendAsync(request) { LimitedBodySubscriber(bodyMaxBytes) }.await()
+    } ?: throw HttpTimeoutException("no complete response within $timeoutMillis ms")
+
     private companion object {
         const val HTTP_ERROR = 400
     }
 }
 
+// Fails a body that exceeds the limit.
+private class LimitedBodySubscriber(private val maxBytes: Int) :
+    HttpResponse.BodySubscriber<ByteArray> {
+    private val body = CompletableFuture<ByteArray>()
+    private val received = ByteArrayOutputStream()
+    private lateinit var subscription: Flow.Subscription
+
+    override fun getBody(): CompletionStage<ByteArray> = body
+
+    override fun onSubscribe(newSubscription: Flow.Subscription) {
+        subscription = newSubscription
+        newSubscription.request(Long.MAX_VALUE)
+    }
+
+    override fun onNext(item: List<ByteBuffer>) {
+        if (body.isDone) return
+        item.forEach { buffer ->
+            val bytes = ByteArray(buffer.remaining())
+            buffer.get(bytes)
+            received.writeBytes(bytes)
+        }
+        if (received.size() <= maxBytes) return
+        subscription.cancel()
+        body.completeExceptionally(IOException("response body exceeds $maxBytes bytes"))
+    }
+
+    override fun onError(throwable: Throwable) {
+        body.completeExceptionally(throwable)
+    }
+
+    override fun onComplete() {
+        body.complete(received.toByteArray())
+    }
+}
+
 // Requests one item at a time, so that a slow reader applies backpressure to the connection.
 private class OnDemandBodySubscriber :
     Flow.Subscriber<List<ByteBuffer>>,
