Keep the bounds of a paused entry in soak runs once it has settled

The soak runs exempted an entry from a bound if any fault of the entry overlapped the time from the start of the bound to the request.

A bound applies again as soon as the entry has settled after a pause, a restart or a reload. Faults of the store and of the links still restart it. The check is stricter: the exemption of SoakDisturbancesTest for a pause ends 4 s after the pause for requests at that time, where it ended only for bounds that started then.

--- a/bench/src/test/kotlin/org/toucanspur/bench/soak/SoakDisturbancesTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/soak/SoakDisturbancesTest.kt
@@ -24,12 +24,24 @@
                 val pause = fault(FaultKind.PAUSE)
                 isUndisturbed(pause, 7999) shouldBe true
                 isUndisturbed(pause, 8000) shouldBe false
-                isUndisturbed(pause, 15_000) shouldBe false
-                isUndisturbed(pause, 15_001) shouldBe true
+                isUndisturbed(pause, 13_000) shouldBe false
+                isUndisturbed(pause, 13_001) shouldBe true
+            }
+            it("is exempt from bounds that started before the store and its links had settled") {
+                val outage = fault(FaultKind.STORE_DOWN)
+                isUndisturbed(outage, 7999) shouldBe true
+                isUndisturbed(outage, 8000) shouldBe false
+                isUndisturbed(outage, 15_000) shouldBe false
+                isUndisturbed(outage, 15_001) shouldBe true
+                isUndisturbed(fault(FaultKind.STORE_LINK), 15_000) shouldBe false
+            }
+            it("must keep a bound during which it was paused once it has settled") {
+                SoakDisturbances(listOf(fault(FaultKind.PAUSE)), limits)
+                    .isUndisturbed(0, 0, fromMillis = 9000, toMillis = 17_001) shouldBe true
             }
             it("is exempt for the grace period as well when it is terminated") {
-                isUndisturbed(fault(FaultKind.TERMINATE), 23_000) shouldBe false
-                isUndisturbed(fault(FaultKind.TERMINATE), 23_001) shouldBe true
+                isUndisturbed(fault(FaultKind.TERMINATE), 21_000) shouldBe false
+                isUndisturbed(fault(FaultKind.TERMINATE), 21_001) shouldBe true
             }
             it("is not exempt because of faults that do not affect it") {
                 isUndisturbed(fault(FaultKind.KILL, target = 1), 11_000) shouldBe true
