Refuse other versions than the expected one in the stand-in engine

The stand-in refused a request only if its weights were older than the expected version. The platform's engines refuse any other version, newer ones too, so that the stand-in hid requests which state an older version than the endpoint serves.

The check is stricter.

--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/ModelEngineService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/ModelEngineService.kt
@@ -143,8 +143,8 @@
 
     private fun stream(exchange: HttpExchange) {
         val version = loadedVersion
-        val isOutdated = version < (exchange.header("X-Expected-Version")?.toLong() ?: 0)
-        if (!exchange.targetsInstance(name) || version == 0L || isOutdated) {
+        val isOtherVersion = version != (exchange.header("X-Expected-Version")?.toLong() ?: version)
+        if (!exchange.targetsInstance(name) || version == 0L || isOtherVersion) {
             exchange.respondNotExecuted(if (version == 0L) UNAVAILABLE else MISDIRECTED)
             return
         }
