State the endpoint's own weight version and keep an endpoint that refuses it

Callers were refused and endpoints on old versions overloaded when two versions were set shortly after each other: requests stated the lowest allowed version, which an endpoint on a newer version refuses with 421, and any 421 was taken as a sign that the address belongs to another endpoint. The sound endpoint then got no requests until it restarted.

A request now states the version that its endpoint reports, at least the lowest allowed one.

Found by reading; not seen on a deployment.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -46,7 +46,10 @@
     SERVER_ERROR,
 
     /** A different endpoint now uses the address. */
-    ADDRESS_REUSED
+    ADDRESS_REUSED,
+
+    /** The endpoint refused the expected weight version, or a different one uses the address. */
+    OTHER_VERSION
 }
 
 /** State of one endpoint. Counts cover this entry only, unless they come from a load report. */
@@ -171,7 +174,7 @@
         scoreUpdatedMillis = nowMillis
         when (signal) {
             EndpointSignal.SUCCEEDED -> consecutiveTransportFailures = 0
-            EndpointSignal.TRANSPORT_FAILURE -> {
+            EndpointSignal.TRANSPORT_FAILURE, EndpointSignal.OTHER_VERSION -> {
                 val shift = minOf(consecutiveTransportFailures++, BACKOFF_SHIFT_MAX)
                 backoffUntilMillis = nowMillis + (BACKOFF_MILLIS shl shift)
             }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -284,10 +284,10 @@
     }
 
     private fun onNotExecuted(status: Int) {
-        val observation = if (status == MISDIRECTED) {
-            EndpointSignal.ADDRESS_REUSED
-        } else {
-            EndpointSignal.OVERLOADED
+        val observation = when {
+            status != MISDIRECTED -> EndpointSignal.OVERLOADED
+            versionMin > 0 -> EndpointSignal.OTHER_VERSION
+            else -> EndpointSignal.ADDRESS_REUSED
         }
         val reason = "endpoint answered $status without running it"
         failAttempt(observation, AttemptOutcome.TURNED_AWAY, reason)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -186,7 +186,7 @@
                 call.isOnTime || call.isCommitted,
                 call.organisation?.priority ?: call.route.priority
             ),
-            expectedVersion = versionMin.takeIf { it > 0 },
+            expectedVersion = expectedVersion(endpoint, versionMin, now),
             lastEventId = if (isResumed) call.lastEventId else call.metadata.lastEventId
         )
         val request = EndpointRequest(
@@ -217,6 +217,12 @@
         call.send(endpoint, exchange, CONNECT_TIMEOUT_MILLIS, versionMin)
     }
 
+    // The endpoint refuses any version other than its own, a newer one included.
+    private fun expectedVersion(endpoint: FleetEndpoint, versionMin: Long, nowMillis: Long): Long? {
+        if (versionMin == 0L) return null
+        return maxOf(versionMin, endpoint.loadedVersion(nowMillis) ?: 0)
+    }
+
     private fun JsonObjectBuilder.putVersions(
         call: Call,
         endpoint: FleetEndpoint,
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlinx.serialization.json.JsonObject
@@ -23,6 +24,9 @@
 
 private fun JsonObject?.long(field: String): Long? = this?.get(field)?.jsonPrimitive?.long
 
+private fun Socket.refuseVersion(request: ReceivedRequest) =
+    respond(request, "", "421 Misdirected Request", "Not-Run: 1\r\n")
+
 private fun event(id: Int) = "id: $id\ndata: token$id\n\n"
 
 class GatewayTest :
@@ -186,6 +190,39 @@
             }
         }
         describe("a request for a model with target versions") {
+            it("is accepted by an endpoint that has loaded a newer version than the required one") {
+                val first = endpoint { request, socket ->
+                    if (request.headers["version"] == "3") {
+                        socket.respondWithEvents(request, listOf(event(1)), isComplete = true)
+                    } else {
+                        socket.refuseVersion(request)
+                    }
+                }
+                val gateway = TestGateway(emptyList())
+                gateway.setTargetVersion(2, VERSION_BOUND_MILLIS.toLong())
+                gateway.setTargetVersion(3, ageMillis = 0)
+                gateway.addEngine(first.port, version = 3)
+                gateway.callEngine() shouldContain "token1"
+            }
+            it("is accepted by an endpoint that refused an earlier request for its version") {
+                val hasRefused = AtomicBoolean()
+                val refusingOnce: (ReceivedRequest, Socket) -> Unit = { request, socket ->
+                    if (hasRefused.compareAndSet(false, true)) {
+                        socket.refuseVersion(request)
+                    } else {
+                        socket.respondWithEvents(request, listOf(event(1)), isComplete = true)
+                    }
+                }
+                val endpoints = List(2) { endpoint(refusingOnce) }
+                val gateway = TestGateway(emptyList())
+                gateway.setTargetVersion(2, VERSION_BOUND_MILLIS.toLong())
+                endpoints.forEach { gateway.addEngine(it.port, version = 2) }
+                val first = gateway.callEngine()
+                first shouldContain "token1"
+                // The other endpoint can no longer be reached.
+                endpoints.single { first.contains("Seal: ${it.port}") }.close()
+                gateway.callEngine() shouldContain "token1"
+            }
             it("does not start on an older version after the bound while it is queued there") {
                 val isQueued = CountDownLatch(1)
                 val hasMoved = CountDownLatch(1)
