--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -19,8 +19,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.VersionDiscovery
+import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.ObjectChange
 import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.core.platform.StoredObject
@@ -33,6 +35,7 @@
 import org.toucanspur.daemon.gateway.LoggingWatchListener
 import org.toucanspur.daemon.gateway.ObjectWatchListener
 import org.toucanspur.daemon.gateway.ObjectWatcher
+import org.toucanspur.daemon.gateway.PauseMonitor
 import org.toucanspur.daemon.gateway.ProbeServer
 import org.toucanspur.daemon.gateway.WeightVersionListener
 import org.toucanspur.daemon.gateway.systemClocks
@@ -87,6 +90,7 @@
         ::sendStatus
     )
     private val regions = zoneRegions(settings)
+    private val pauses = PauseMonitor(systemClocks, log)
 
     private var configuration: TrafficConfiguration? = null
     private var peers: Map<VmId, RegionId?> = emptyMap()
@@ -104,6 +108,7 @@
         get() = configuration?.services?.get(settings.engine.service)?.models?.firstOrNull()?.id
 
     override fun start() {
+        pauses.start(loop)
         PieceServer(loop, ::onQuery)
             .start(InetSocketAddress(settings.node.host, settings.addresses.peerPort))
         val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
@@ -125,7 +130,15 @@
     }
 
     private fun followKind(kind: ObjectKind, sink: ObjectWatchListener) = loop.scope.launch {
-        ObjectWatcher(store, kind, WATCH_WAIT_MILLIS, systemClocks, random, sink).run()
+        ObjectWatcher(
+            store,
+            kind,
+            WATCH_WAIT_MILLIS,
+            systemClocks,
+            random,
+            sink,
+            progress = WatchProgress(pauses)
+        ).run()
     }
 
     override suspend fun shutdown() {
@@ -133,9 +146,10 @@
     }
 
     private inner class ConfigurationReader : LoggingWatchListener(ObjectKind.CONFIGURATION, log) {
-        override fun onListing(objects: List<StoredObject>) = objects.forEach(::adopt)
+        override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) =
+            objects.forEach(::adopt)
 
-        override fun onChanges(changes: List<ObjectChange>) =
+        override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) =
             changes.filterNot { it.isRemoved }.forEach { adopt(it.stored) }
 
         private fun adopt(stored: StoredObject) = decodeConfiguration(stored.text.orEmpty()).fold(
@@ -146,11 +160,19 @@
         )
     }
 
-    private fun onTargetVersionSet(version: TargetVersion, age: VersionDiscovery) {
+    private fun onTargetVersionSet(
+        version: TargetVersion,
+        since: ClockReading,
+        age: VersionDiscovery
+    ) {
         val versions = targetVersions.getOrPut(version.model) { ArrayDeque() }
         if (versions.isNotEmpty() && versions.last().first >= version.version) return
-        val ageMillis =
-            if (age == VersionDiscovery.NEW) 0 else settings.bounds.versionMillis.toLong()
+        val boundMillis = settings.bounds.versionMillis.toLong()
+        val ageMillis = if (age == VersionDiscovery.NEW) {
+            systemClocks.now().ageMillis(since).coerceIn(0, boundMillis)
+        } else {
+            boundMillis
+        }
         versions.addLast(version.version to monotonicMillis() - ageMillis)
     }
 
