--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -5,12 +5,10 @@
 package org.toucanspur.daemon.gateway
 
 import java.net.InetSocketAddress
-import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.AttemptHistory
 import org.toucanspur.core.gateway.AttemptOutcome
-import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallQueue
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRequestMetadata
@@ -38,6 +36,7 @@
     private val metrics: GatewayMetrics
 ) : CallDelegate {
     private val admission = CallAdmission(state)
+    private val versions = CallVersions(state, log, metrics)
     override val crashes = CrashObserver(state, log, metrics)
     private val queue = CallQueue<Call>(QUEUE_MAX)
     private val activeCalls = LinkedHashSet<Call>()
@@ -144,7 +143,7 @@
             regions = allowedRegions(call),
             excludedZones = state.evacuatedZones,
             tried = call.tried,
-            versionMin = versionMin(call, nowMillis),
+            versionMin = versions.versionMin(call, nowMillis),
             mustFinish = !isFinalAttempt &&
                 call.executedAttempts > 0 &&
                 call.executedAttempts + 1 >= call.route.endpointsMax
@@ -152,12 +151,6 @@
         return state.placer.place(query, budget, nowMillis, state.entryCount(nowMillis))
     }
 
-    private fun versionMin(call: Call, nowMillis: Long): Long {
-        val loadedMax =
-            state.fleet.of(call.service.id).maxOfOrNull { it.loadedVersion(nowMillis) ?: 0 } ?: 0
-        return state.versions.versionMin(call.metadata.model, systemClocks.now(), loadedMax)
-    }
-
     private fun allowedRegions(call: Call): Set<RegionId>? {
         val organisationRegions = call.organisation?.homeRegions.orEmpty()
         val routeRegions = call.route.homeRegions
@@ -176,7 +169,7 @@
             return
         }
         val endpoint = placement.endpoint
-        val versionMin = versionMin(call, now)
+        val versionMin = versions.versionMin(call, now)
         val isResumed = call.isResumable && call.isCommitted
         val metadata = EndpointRequestMetadata(
             endpoint = endpoint.record.id,
@@ -186,7 +179,7 @@
                 call.isOnTime || call.isCommitted,
                 call.organisation?.priority ?: call.route.priority
             ),
-            expectedVersion = expectedVersion(endpoint, versionMin, now),
+            expectedVersion = versions.expectedVersion(endpoint, versionMin, now),
             lastEventId = if (isResumed) call.lastEventId else call.metadata.lastEventId
         )
         val request = EndpointRequest(
@@ -208,7 +201,7 @@
             put("occupancy", endpoint.occupancy(now, state.entryCount(now)))
             put("reportAgeMillis", endpoint.reportAgeMillis(now))
             endpoint.nextLoadMillis(now)?.let { put("nextLoadMillis", it) }
-            putVersions(call, endpoint, versionMin, now)
+            versions.describe(this, call, endpoint, versionMin)
             put("configuration", state.configuration?.version ?: 0)
             if (isRetry) put("send", call.executedAttempts + call.unexecutedAttempts + 1)
         }
@@ -217,26 +210,6 @@
         call.send(endpoint, exchange, CONNECT_TIMEOUT_MILLIS, versionMin)
     }
 
-    // The endpoint refuses any version other than its own, a newer one included.
-    private fun expectedVersion(endpoint: FleetEndpoint, versionMin: Long, nowMillis: Long): Long? {
-        if (versionMin == 0L) return null
-        return maxOf(versionMin, endpoint.loadedVersion(nowMillis) ?: 0)
-    }
-
-    private fun JsonObjectBuilder.putVersions(
-        call: Call,
-        endpoint: FleetEndpoint,
-        versionMin: Long,
-        nowMillis: Long
-    ) {
-        val model = call.metadata.model ?: return
-        val newest = state.versions.newest(model)
-        endpoint.loadedVersion(nowMillis)?.let { put("loadedVersion", it) }
-        put("versionMin", versionMin)
-        put("newestVersion", newest)
-        put("newestAgeMillis", state.versions.ageMillis(model, newest, systemClocks.now()) ?: -1)
-    }
-
     private fun refuseUnplaced(call: Call, placement: Placement) {
         val isBusy = placement is Placement.Busy
         val predicted = if (placement is Placement.Busy) {
@@ -342,26 +315,8 @@
         refuse(call, refusal)
     }
 
-    override fun onResponseBegun(call: Call, endpoint: FleetEndpoint) {
-        val model = call.metadata.model ?: return
-        val version = call.weightVersion ?: return
-        val now = monotonicMillis()
-        val sentAgoMillis = now - call.sentMillis
-        if (state.versions.newest(model) > call.versionMin) metrics.onHeadPending(sentAgoMillis)
-        val versionMin = versionMin(call, now)
-        if (version >= versionMin) return
-        metrics.outdated.increment()
-        log.event(EventCode.RESPONSE_OUTDATED) {
-            put("request", call.id.value)
-            put("endpoint", endpoint.record.id.value)
-            put("version", version)
-            put("versionMin", versionMin)
-            put("ageMillis", state.versions.ageMillis(model, versionMin, systemClocks.now()) ?: -1)
-            put("versionMinWhenSent", call.versionMin)
-            put("sentAgoMillis", sentAgoMillis)
-            put("isStream", call.route.kind == CallKind.STREAM)
-        }
-    }
+    override fun onResponseBegun(call: Call, endpoint: FleetEndpoint) =
+        versions.onResponseBegun(call, endpoint)
 
     override fun onResponseComplete(call: Call, status: Int) {
         activeCalls -= call
@@ -430,7 +385,7 @@
         crashes.confirm(now)
         drainQueue()
         queue.removeExpired(now).forEach { onWaitExpired(it, now) }
-        activeCalls.filter { it.isAwaitingResponse }.forEach { checkVersion(it, now) }
+        activeCalls.filter { it.isAwaitingResponse }.forEach { versions.withdrawIfDue(it, now) }
         activeCalls.filter { it.isSent && it.route.isRepeatable }.forEach { checkStall(it, now) }
         state.fleet.expire(now).forEach {
             log.event(EventCode.ENDPOINT_REMOVED) { put("endpoint", it.value) }
@@ -464,15 +419,6 @@
         }
     }
 
-    // Load pattern: a request waits at a slow, overloaded or paused endpoint until the bound of a
-    // version ends that was not required yet when the request was sent.
-    private fun checkVersion(call: Call, nowMillis: Long) {
-        val due = state.versions.versionDue(call.metadata.model, systemClocks.now())
-        val loaded = call.endpoint?.loadedVersion(nowMillis) ?: 0
-        if (call.versionMin >= due || loaded >= due) return
-        call.withdraw("endpoint has not started it before version $due is due")
-    }
-
     // Load pattern: connections of a failed or unreachable endpoint stay open but carry no data. A
     // repeatable call is sent to another endpoint, but only to one with free capacity.
     private fun checkStall(call: Call, nowMillis: Long) {
