Send nothing late to endpoints on an old version whose path is slow

Callers got responses from an old weight version after its bound where the link to an endpoint was narrow: the request was sent before the bound and 2.3 s to 4 s on its way; a withdrawal queues behind it. The record of such an endpoint had expired and come back within 1.2 s, and the entry had then forgotten its requests in flight and its timeouts: 36 sends in one second.

A request without a response for a second, a stalled one and a connection that cannot be established mark the path of an endpoint as slow for 8 s. Such an endpoint gets no request on an older version from 4.5 s before the bound on. An endpoint that is listed again within 30 s in the same incarnation keeps its state.

A withdrawal comes 600 ms before the bound, which leaves time for such a pause.

Evidence: tests of WatchProgress, VersionGate, Fleet and Placement cover each of these.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -73,6 +73,7 @@
     private var consecutiveTransportFailures = 0
     private var backoffUntilMillis = 0L
     private var isAddressReused = false
+    private var slowPathUntilMillis = 0L
     private var unresponsiveMillis = Long.MIN_VALUE
 
     /** Whether a more recently started endpoint is listed at the same address. */
@@ -84,7 +85,10 @@
         if (changed.coldRemainingMillis > 0) {
             coldUntilMillis = maxOf(coldUntilMillis, nowMillis + changed.coldRemainingMillis)
         }
-        if (changed.startedAtMillis != record.startedAtMillis) isAddressReused = false
+        if (changed.startedAtMillis != record.startedAtMillis) {
+            isAddressReused = false
+            slowPathUntilMillis = 0
+        }
         record = changed
     }
 
@@ -189,6 +193,14 @@
     /** Whether the endpoint did not respond to its agent at some time from [millis] on. */
     fun wasUnresponsiveSince(millis: Long): Boolean = unresponsiveMillis >= millis
 
+    /** Records that a request got no response in time, or that it could not be sent. */
+    fun onSlowPath(nowMillis: Long) {
+        slowPathUntilMillis = nowMillis + SLOW_PATH_MILLIS
+    }
+
+    /** Whether requests may recently have taken seconds to reach the endpoint and to start. */
+    fun hasSlowPath(nowMillis: Long): Boolean = nowMillis < slowPathUntilMillis
+
     /** Moving average of recent failures, which decays within seconds. */
     fun score(nowMillis: Long): Double =
         failureScore * exp(-(nowMillis - scoreUpdatedMillis) / SCORE_DECAY_MILLIS)
@@ -218,6 +230,7 @@
         const val BACKOFF_MILLIS = 200L
         const val BACKOFF_SHIFT_MAX = 4
         const val OVERLOAD_BACKOFF_MILLIS = 60L
+        const val SLOW_PATH_MILLIS = 8000L
     }
 }
 
@@ -235,6 +248,7 @@
     private val endpoints = LinkedHashMap<EndpointId, FleetEndpoint>()
     private val byService = HashMap<ServiceId, MutableList<FleetEndpoint>>()
     private val unlistedSince = HashMap<EndpointId, Long>()
+    private val dropped = HashMap<EndpointId, DroppedEndpoint>()
     private var storeRecoveredMillis = -1L
 
     /** Endpoints of [service], including those that are draining. */
@@ -269,13 +283,25 @@
             markSuperseded(known)
             return
         }
-        if (known != null) drop(record.id)
-        val endpoint = FleetEndpoint(record, nowMillis)
+        if (known != null) drop(record.id, nowMillis)
+        val endpoint = recall(record, nowMillis) ?: FleetEndpoint(record, nowMillis)
         endpoints[record.id] = endpoint
         byService.getOrPut(record.service) { mutableListOf() } += endpoint
         markSuperseded(endpoint)
     }
 
+    // The record of an endpoint on a narrow link expires and comes back. What is known about the
+    // endpoint, above all its requests in flight, still holds then.
+    private fun recall(record: EndpointRecord, nowMillis: Long): FleetEndpoint? {
+        dropped.values.removeIf { nowMillis - it.atMillis > DROPPED_KEPT_MILLIS }
+        val endpoint = dropped.remove(record.id)?.endpoint ?: return null
+        val isSame = endpoint.record.service == record.service &&
+            endpoint.record.startedAtMillis == record.startedAtMillis
+        if (!isSame) return null
+        endpoint.update(record, nowMillis)
+        return endpoint
+    }
+
     // After a power loss, previous incarnations remain listed for a few heartbeats.
     private fun markSuperseded(added: FleetEndpoint) {
         val sameAddress = endpoints.values.filter {
@@ -293,7 +319,7 @@
         if (id !in endpoints) return
         val isAfterOutage =
             storeRecoveredMillis >= 0 && nowMillis - storeRecoveredMillis < unlistedGraceMillis
-        if (isAfterOutage) unlistedSince[id] = nowMillis else drop(id)
+        if (isAfterOutage) unlistedSince[id] = nowMillis else drop(id, nowMillis)
     }
 
     /** Applies a complete listing and removes the endpoints that are not in it. */
@@ -308,17 +334,22 @@
         val due = storeRecoveredMillis + unlistedGraceMillis
         if (unlistedSince.isEmpty() || nowMillis < due) return emptyList()
         val gone = unlistedSince.keys.toList()
-        gone.forEach(::drop)
+        gone.forEach { drop(it, nowMillis) }
         unlistedSince.clear()
         return gone
     }
 
-    private fun drop(id: EndpointId) {
+    private fun drop(id: EndpointId, nowMillis: Long) {
         val endpoint = endpoints.remove(id) ?: return
+        dropped[id] = DroppedEndpoint(endpoint, nowMillis)
         byService[endpoint.record.service]?.remove(endpoint)
     }
 
+    private class DroppedEndpoint(val endpoint: FleetEndpoint, val atMillis: Long)
+
     private companion object {
+        const val DROPPED_KEPT_MILLIS = 30_000L
+
         // Listings that expired during a store outage are renewed within about two seconds.
         const val UNLISTED_GRACE_MILLIS = 2000L
 
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -22,6 +22,8 @@
     val tried: Set<EndpointId>,
     /** Lowest weight version on which the request may start; 0 for any. */
     val versionMin: Long,
+    /** Lowest version at an endpoint that requests may take seconds to reach. */
+    val slowPathVersionMin: Long = versionMin,
     /** Whether this is the last attempt, so that a weight load must not interrupt the response. */
     val mustFinish: Boolean = false
 )
@@ -117,7 +119,9 @@
     ): Boolean {
         if (query.service.engine == null) return true
         val loaded = endpoint.loadedVersion(nowMillis) ?: return false
-        return loaded > 0 && loaded >= query.versionMin
+        val isSlow = endpoint.hasSlowPath(nowMillis)
+        return loaded > 0 &&
+            loaded >= if (isSlow) query.slowPathVersionMin else query.versionMin
     }
 
     private fun hasCapacity(
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -55,9 +55,23 @@
      * Lowest version on which a request for [model] may start at [now]; 0 for any.
      * [loadedMax] is the highest version that an endpoint has loaded.
      */
-    fun versionMin(model: ModelId?, now: ClockReading, loadedMax: Long): Long {
+    fun versionMin(model: ModelId?, now: ClockReading, loadedMax: Long): Long =
+        versionMin(model, now, loadedMax, MARGIN_MILLIS)
+
+    /** Like [versionMin], for an endpoint that requests may take seconds to reach. */
+    fun versionMinForSlowPath(model: ModelId?, now: ClockReading, loadedMax: Long): Long =
+        versionMin(model, now, loadedMax, SLOW_PATH_MARGIN_MILLIS)
+
+    private fun versionMin(
+        model: ModelId?,
+        now: ClockReading,
+        loadedMax: Long,
+        marginMillis: Long
+    ): Long {
         if (boundMillis <= 0 || model == null) return 0
-        return targets[model]?.lastOrNull { isRequired(it, now, loadedMax) }?.version ?: 0
+        return targets[model]
+            ?.lastOrNull { isRequired(it, now, loadedMax, marginMillis) }
+            ?.version ?: 0
     }
 
     /**
@@ -71,9 +85,14 @@
             ?.version ?: 0
     }
 
-    private fun isRequired(target: TargetVersion, now: ClockReading, loadedMax: Long): Boolean {
+    private fun isRequired(
+        target: TargetVersion,
+        now: ClockReading,
+        loadedMax: Long,
+        marginMillis: Long
+    ): Boolean {
         val ageMillis = now.ageMillis(target.since)
-        return ageMillis >= boundMillis - MARGIN_MILLIS ||
+        return ageMillis >= boundMillis - marginMillis ||
             when (target.discovery) {
                 VersionDiscovery.NEW -> false
                 VersionDiscovery.FOUND_AFTER_OUTAGE ->
@@ -92,8 +111,12 @@
         // Covers the propagation of the version and the queueing time of a request at an endpoint.
         const val MARGIN_MILLIS = 1200L
 
-        // Time for a withdrawal to reach the endpoint before the bound ends.
-        const val WITHDRAWAL_MILLIS = 300L
+        // Callers leave after two to three seconds, so a link holds no older requests.
+        const val SLOW_PATH_MARGIN_MILLIS = 4500L
+
+        // Time for a withdrawal to reach the endpoint before the bound ends, after a pause of this
+        // process that is too short to be detected.
+        const val WITHDRAWAL_MILLIS = 600L
 
         // Time allowed for endpoints to report their versions after a store outage.
         const val REPORT_WAIT_MILLIS = 500L
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/WatchProgress.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/WatchProgress.kt
@@ -16,13 +16,17 @@
     private var knownUntil: ClockReading? = null
     private var outageStart: ClockReading? = null
 
-    /** Returns the time after which the changes of a call were made that ran until [now]. */
+    /** Returns the time after which the unknown objects of a listing were changed. */
+    fun unlistedSince(callStart: ClockReading): ClockReading = knownUntil ?: callStart
+
+    /** Returns the time after which the changes of a watch call were made that ran until [now]. */
     fun unseenSince(callStart: ClockReading, now: ClockReading): ClockReading {
         val uninterruptedEnd = pauses.firstPauseSince(callStart) ?: now
         val waitedMillis = uninterruptedEnd.monotonicMillis - callStart.monotonicMillis
         // The store returns existing changes immediately, so a call that has waited proves that
         // there were none.
-        return if (waitedMillis >= PROMPT_MILLIS) uninterruptedEnd else knownUntil ?: callStart
+        val promptMillis = if (outageStart == null) PROMPT_MILLIS else PROMPT_AFTER_FAILURE_MILLIS
+        return if (waitedMillis >= promptMillis) uninterruptedEnd else knownUntil ?: callStart
     }
 
     /** Records that all changes made before [at] have been delivered. */
@@ -32,16 +36,18 @@
     }
 
     /**
-     * Records that a call failed at [at]. Time in which the store cannot be reached does not count
-     * towards the age of a change; a single failure may be due to its connection only.
+     * Records that the call from [callStart] failed at [at]. Time in which the store rejects calls
+     * does not count towards the age of a change. A single failure may be due to its connection
+     * only, and a call without a response to a connection that has gone silent.
      */
-    fun onFailure(at: ClockReading) {
-        val start = outageStart
-        if (start == null) {
+    fun onFailure(callStart: ClockReading, at: ClockReading) {
+        val outage = outageStart
+        if (outage == null) {
             outageStart = at
-        } else if (at.monotonicMillis - start.monotonicMillis >= OUTAGE_MILLIS) {
-            advance(at)
+            return
         }
+        val isPrompt = at.ageMillis(callStart) < PROMPT_MILLIS
+        if (isPrompt && callStart.ageMillis(outage) >= OUTAGE_MILLIS) advance(callStart)
     }
 
     private fun advance(at: ClockReading) {
@@ -50,8 +56,11 @@
     }
 
     private companion object {
-        // The store responds within a few milliseconds unless it is disturbed.
-        const val PROMPT_MILLIS = 300L
+        // The store responds within milliseconds. Longer than the pauses that are not detected.
+        const val PROMPT_MILLIS = 450L
+
+        // Covers the timeout of a connection as well.
+        const val PROMPT_AFTER_FAILURE_MILLIS = 1500L
 
         // Longer than a retry on a new connection takes.
         const val OUTAGE_MILLIS = 1000L
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
@@ -34,6 +34,25 @@
                 fleet.of(writers).size shouldBe 1
             }
         }
+        describe("an endpoint that is listed again") {
+            val id = EndpointId("e0")
+            fun relisted(startedAtMillis: Long) = Fleet().run {
+                put(record("e0"), 0)
+                find(id)!!.onAttempt(100)
+                find(id)!!.onSlowPath(100)
+                remove(id, 200)
+                put(record("e0").copy(startedAtMillis = startedAtMillis), 1300)
+                find(id)!!
+            }
+            it("keeps its requests in flight and the state of its path") {
+                relisted(startedAtMillis = 0).ownInFlight shouldBe 1
+                relisted(startedAtMillis = 0).hasSlowPath(1300) shouldBe true
+            }
+            it("starts without them after a restart") {
+                relisted(startedAtMillis = 7).ownInFlight shouldBe 0
+                relisted(startedAtMillis = 7).hasSlowPath(1300) shouldBe false
+            }
+        }
         describe("an earlier incarnation of an endpoint at the same address") {
             it("is superseded regardless of the order of the listings") {
                 val old = record("old").copy(startedAtMillis = 5)
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/PlacementTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/PlacementTest.kt
@@ -89,6 +89,18 @@
                     Placement.Nowhere
             }
         }
+        describe("an endpoint on an older version with a slow path") {
+            val fleet = fleet(record("e0", version = 1))
+            val rollout = query().copy(slowPathVersionMin = 2)
+            it("gets requests while its path is fast") {
+                placer(fleet).place(rollout, BUDGET_MILLIS, 0, 4)
+                    .shouldBeInstanceOf<Placement.Send>()
+            }
+            it("gets none that could arrive after the bound of a newer version") {
+                fleet.find(EndpointId("e0"))!!.onSlowPath(0)
+                placer(fleet).place(rollout, BUDGET_MILLIS, 7000, 4) shouldBe Placement.Nowhere
+            }
+        }
         describe("the last attempt of a request during a weight rollout") {
             fun plannedFleet(firstMillis: Long, secondMillis: Long) =
                 fleet(record("e0"), record("e1")).apply {
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/VersionGateTest.kt
@@ -13,15 +13,19 @@
             gate.onTargetVersion(model, 3, at(12_000))
             it("is not required at first") { gate.versionMin(model, at(16_000), 3) shouldBe 0 }
             it("is due for requests that wait at an endpoint just before its bound ends") {
-                gate.versionDue(model, at(17_699)) shouldBe 0
-                gate.versionDue(model, at(17_700)) shouldBe 2
-                gate.versionDue(model, at(19_700)) shouldBe 3
+                gate.versionDue(model, at(17_399)) shouldBe 0
+                gate.versionDue(model, at(17_400)) shouldBe 2
+                gate.versionDue(model, at(19_400)) shouldBe 3
             }
             it("has an age from the start of its bound") {
                 gate.ageMillis(model, 2, at(16_000)) shouldBe 6000
                 gate.ageMillis(model, 3, at(16_000)) shouldBe 4000
                 gate.ageMillis(model, 4, at(16_000)) shouldBe null
             }
+            it("is required earlier where requests take seconds to reach an endpoint") {
+                gate.versionMinForSlowPath(model, at(13_499), 3) shouldBe 0
+                gate.versionMinForSlowPath(model, at(13_500), 3) shouldBe 2
+            }
             it("is required shortly before its own bound ends") {
                 gate.versionMin(model, at(17_000), 3) shouldBe 2
                 gate.versionMin(model, at(18_799), 3) shouldBe 2
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/WatchProgressTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/WatchProgressTest.kt
@@ -30,22 +30,42 @@
             it("does not confirm anything until it fails") {
                 val progress = WatchProgress()
                 progress.onUpToDate(at(2000))
-                progress.onFailure(at(4800))
+                progress.onFailure(at(2000), at(4800))
                 progress.unseenSince(at(4900), at(4910)) shouldBe at(2000)
             }
+            it("does not count as an outage of the store when the next one is silent as well") {
+                val progress = WatchProgress()
+                progress.onUpToDate(at(2000))
+                progress.onFailure(at(2000), at(2100))
+                progress.onFailure(at(2300), at(5000))
+                progress.unseenSince(at(5100), at(5110)) shouldBe at(2000)
+            }
+            it("is followed by a call whose connection may take a second") {
+                val progress = WatchProgress()
+                progress.onUpToDate(at(2000))
+                progress.onFailure(at(2000), at(4800))
+                progress.unseenSince(at(4900), at(5950)) shouldBe at(2000)
+            }
+        }
+        describe("a listing") {
+            it("does not prove anything by its duration") {
+                val progress = WatchProgress()
+                progress.onUpToDate(at(2000))
+                progress.unlistedSince(at(2500)) shouldBe at(2000)
+            }
         }
         describe("an outage of the store") {
             it("does not count towards the age of a change") {
                 val progress = WatchProgress()
                 progress.onUpToDate(at(2000))
-                listOf(2100L, 2600, 3400, 4200).forEach { progress.onFailure(at(it)) }
+                listOf(2100L, 2600, 3400, 4200).forEach { progress.onFailure(at(it), at(it + 5)) }
                 progress.unseenSince(at(5000), at(5010)) shouldBe at(4200)
             }
             it("starts anew after a success") {
                 val progress = WatchProgress()
-                progress.onFailure(at(0))
+                progress.onFailure(at(0), at(5))
                 progress.onUpToDate(at(100))
-                progress.onFailure(at(1500))
+                progress.onFailure(at(1500), at(1505))
                 progress.unseenSince(at(1600), at(1610)) shouldBe at(100)
             }
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -395,6 +395,7 @@
     override fun onFailure(exchange: EndpointExchange, wasSent: Boolean, reason: String) {
         if (exchange !== this.exchange) return
         val outcome = if (wasSent) AttemptOutcome.MAY_HAVE_RUN else AttemptOutcome.UNREACHED
+        if (!wasSent) endpoint?.onSlowPath(monotonicMillis())
         failAttempt(EndpointSignal.TRANSPORT_FAILURE, outcome, reason)
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -144,6 +144,7 @@
             excludedZones = state.evacuatedZones,
             tried = call.tried,
             versionMin = versions.versionMin(call, nowMillis),
+            slowPathVersionMin = versions.slowPathVersionMin(call, nowMillis),
             mustFinish = !isFinalAttempt &&
                 call.executedAttempts > 0 &&
                 call.executedAttempts + 1 >= call.route.endpointsMax
@@ -364,6 +365,7 @@
             put("wasSent", call.isSent)
         }
         metrics.abandoned.increment()
+        versions.onAbandoned(call)
         call.cancel()
         activeCalls -= call
     }
@@ -430,6 +432,7 @@
         if (placement !is Placement.Send || placement.endpoint === endpoint) return
         if (!takeRetryPermit(call, nowMillis)) return
         endpoint?.onSignal(EndpointSignal.TRANSPORT_FAILURE, nowMillis)
+        endpoint?.onSlowPath(nowMillis)
         log.event(EventCode.REQUEST_FAILED) {
             put("request", call.id.value)
             put("endpoint", endpoint?.record?.id?.value ?: "")
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallVersions.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallVersions.kt
@@ -19,11 +19,22 @@
     private val metrics: GatewayMetrics
 ) {
     /** Lowest version on which [call] may start now; 0 for any. */
-    fun versionMin(call: Call, nowMillis: Long): Long {
-        val loadedMax =
-            state.fleet.of(call.service.id).maxOfOrNull { it.loadedVersion(nowMillis) ?: 0 } ?: 0
-        return state.versions.versionMin(call.metadata.model, systemClocks.now(), loadedMax)
-    }
+    fun versionMin(call: Call, nowMillis: Long): Long = state.versions.versionMin(
+        call.metadata.model,
+        systemClocks.now(),
+        loadedMax(call, nowMillis)
+    )
+
+    private fun loadedMax(call: Call, nowMillis: Long): Long =
+        state.fleet.of(call.service.id).maxOfOrNull { it.loadedVersion(nowMillis) ?: 0 } ?: 0
+
+    /** Lowest version on which [call] may start at an endpoint with a slow path; 0 for any. */
+    fun slowPathVersionMin(call: Call, nowMillis: Long): Long =
+        state.versions.versionMinForSlowPath(
+            call.metadata.model,
+            systemClocks.now(),
+            loadedMax(call, nowMillis)
+        )
 
     /**
      * Version that a request to [endpoint] states, or null for none. The endpoint refuses any
@@ -48,9 +59,10 @@
     /** Logs and counts a response that began on an older version than allowed. */
     fun onResponseBegun(call: Call, endpoint: FleetEndpoint) {
         val model = call.metadata.model ?: return
-        val version = call.weightVersion ?: return
         val now = monotonicMillis()
         val sentAgoMillis = now - call.sentMillis
+        if (sentAgoMillis >= SLOW_RESPONSE_MILLIS) endpoint.onSlowPath(now)
+        val version = call.weightVersion ?: return
         if (state.versions.newest(model) > call.versionMin) metrics.onHeadPending(sentAgoMillis)
         val versionMin = versionMin(call, now)
         if (version >= versionMin) return
@@ -67,6 +79,13 @@
         }
     }
 
+    /** Records that the caller of [call] has left before the endpoint began a response. */
+    fun onAbandoned(call: Call) {
+        val now = monotonicMillis()
+        val isSlow = call.isAwaitingResponse && now - call.sentMillis >= SLOW_RESPONSE_MILLIS
+        if (isSlow) call.endpoint?.onSlowPath(now)
+    }
+
     /**
      * Withdraws [call] from an endpoint on an older version if a version is due. Load pattern: a
      * request waits at a slow, overloaded or paused endpoint until the bound of a version ends that
@@ -76,6 +95,11 @@
         val due = state.versions.versionDue(call.metadata.model, systemClocks.now())
         val loaded = call.endpoint?.loadedVersion(nowMillis) ?: 0
         if (call.versionMin >= due || loaded >= due) return
+        call.endpoint?.onSlowPath(nowMillis)
         call.withdraw("endpoint has not started it before version $due is due")
     }
+
+    private companion object {
+        const val SLOW_RESPONSE_MILLIS = 1000L
+    }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -62,15 +62,16 @@
     suspend fun run() {
         while (true) {
             val afterRevision = revision
+            val start = clocks.now()
             val failure = if (afterRevision == null) list() else watch(afterRevision)
-            if (failure == null) onSuccess() else onFailure(failure)
+            if (failure == null) onSuccess() else onFailure(failure, start)
         }
     }
 
     private suspend fun list(): FeedFailure? {
         val at = clocks.now()
         val listing = feed.list(kind).getOrElse { return it }
-        listener.onListing(listing.objects, progress.unseenSince(at, clocks.now()))
+        listener.onListing(listing.objects, progress.unlistedSince(at))
         revision = listing.storeRevision
         onUpToDate(at)
         return null
@@ -112,12 +113,12 @@
         listener.onStoreAvailable(clocks.now().monotonicMillis - outageStart)
     }
 
-    private suspend fun onFailure(failure: FeedFailure) {
-        progress.onFailure(clocks.now())
+    private suspend fun onFailure(failure: FeedFailure, start: ClockReading) {
         if (failure == FeedFailure.HistoryGone) {
             revision = null
             return
         }
+        progress.onFailure(start, clocks.now())
         if (outageStartMillis == null) {
             outageStartMillis = clocks.now().monotonicMillis
             listener.onStoreUnavailable(failure.message)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -175,9 +175,9 @@
                         delay(900)
                         changed()
                     }
-                    val pauses = PauseHistory { ClockReading(1400, 1400) }
+                    val pauses = PauseHistory { ClockReading(1600, 1600) }
                     runWatcher(ScriptedFeed(unchanged, late, unchanged), millis = 2000, pauses)
-                        .changedSinceMillis shouldBe 1400
+                        .changedSinceMillis shouldBe 1600
                 }
             }
             it("times out when the store does not respond") {
