Keep the newest crashes of a suspect

Requests that crash endpoints could stay unrefused when more than twelve endpoints crashed at the same time: the oldest twelve crashes were kept, and later ones, which come one after the other, were dropped.

The newest twelve are kept now.

Found in review.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
@@ -271,7 +271,7 @@
         val oldestMillis = all.maxOf { it.lostMillis } - limits.memoryMillis
         suspect.crashes = all.filter { it.lostMillis >= oldestMillis }
             .sortedBy { it.lostMillis }
-            .take(CRASHES_KEPT)
+            .takeLast(CRASHES_KEPT)
     }
 
     // The crashes for each of which the request was sent after the crash before.
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsTest.kt
@@ -63,6 +63,13 @@
                 suspects.serve(1300)
                 suspects.refuses(deadly, 1300) shouldBe true
             }
+            it("is refused after many crashes at the same time") {
+                val suspects = CrashSuspects()
+                repeat(20) { suspects.crash(attempt(it, sentMillis = 900, lostMillis = 1000L + it)) }
+                repeat(3) { suspects.crash(attempt(20 + it, sentMillis = 1100L + 100 * it)) }
+                suspects.serve(1500)
+                suspects.refuses(deadly, 1500) shouldBe true
+            }
             it("is refused as long as requests with it arrive, and some time after the last") {
                 val suspects = refusing(CrashSuspectLimits(refusalMillis = 10_000))
                 repeat(20) { suspects.refuses(deadly, 2000L + 9000 * it) shouldBe true }
