Do not clear a suspect by a server error

Requests that crash endpoints were sent again after an endpoint that fails part of its requests had answered one of them with 500: the head of any response counted as progress, which clears the suspects at all entries.

Only a successful response counts now.

Evidence: GatewayTest 'are not cleared by a server error of an endpoint that did not go down' failed before (502, a fourth crash) and passes now.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -168,7 +168,7 @@
     /** Whether the response shows that the endpoint of the attempt runs the call. */
     val hasProgressed: Boolean
         get() = if (eventSplitter == null) {
-            responseHead != null
+            responseHead?.status()?.code() in SUCCESS
         } else {
             attemptEvents >= PROGRESS_EVENTS
         }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -366,6 +366,27 @@
                 repeat(3) { running.call("/once/", body = "same") shouldContain "503" }
                 executed.get() shouldBe 3
             }
+            it("are not cleared by a server error of an endpoint that did not go down") {
+                val attempts = AtomicInteger()
+                var created: TestGateway? = null
+                val endpoints = List(4) {
+                    endpoint { request, socket ->
+                        when {
+                            request.body != "same" -> socket.respond(request, "fine")
+                            attempts.incrementAndGet() == 3 ->
+                                socket.respond(request, "failed", "500 Internal Server Error")
+                            else -> created?.onRestart(socket.localPort)
+                        }
+                    }
+                }
+                val running = TestGateway(endpoints.map { it.port })
+                created = running
+                repeat(2) { running.call("/once/", body = "same") shouldContain "502" }
+                running.call("/once/", body = "same") shouldContain "500"
+                running.call("/once/", body = "same") shouldContain "502"
+                repeat(8) { running.call("/once/", body = "other") shouldContain "fine" }
+                running.call("/once/", body = "same") shouldContain "503"
+            }
             it("are served when connections are lost but no endpoint went down") {
                 val endpoints = List(4) {
                     endpoint { request, socket ->
