--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsTest.kt
@@ -65,7 +65,9 @@
             }
             it("is refused after many crashes at the same time") {
                 val suspects = CrashSuspects()
-                repeat(20) { suspects.crash(attempt(it, sentMillis = 900, lostMillis = 1000L + it)) }
+                repeat(20) {
+                    suspects.crash(attempt(it, sentMillis = 900, lostMillis = 1000L + it))
+                }
                 repeat(3) { suspects.crash(attempt(20 + it, sentMillis = 1100L + 100 * it)) }
                 suspects.serve(1500)
                 suspects.refuses(deadly, 1500) shouldBe true
