Limit the rate of the endless sealed response in its test

The check is the same: an endless body with a seal is broken off and never completed; bytes now come at about 1 MB a second, still more than the 128 KiB that the gateway buffers.

--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/EndlessResponseTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/EndlessResponseTest.kt
@@ -128,7 +128,8 @@
             }
             it("is broken off at the deadline with a seal") {
                 val response = callOne("/once/", "Left: 1500\r\n") { _, socket ->
-                    socket.sendEndless("$SEALED_HEAD\r\n", "~".repeat(1000))
+                    // The test keeps the response, so its rate is limited.
+                    socket.sendEndless("$SEALED_HEAD\r\n", "~".repeat(1000), pauseMillis = 1)
                 }
                 response.endsWith("0\r\n\r\n") shouldBe false
             }
