--- a/core/src/main/kotlin/org/toucanspur/core/gateway/RequestCodec.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/RequestCodec.kt
@@ -23,7 +23,9 @@
     val promptTokens: Int?,
     val outputTokensMax: Int?,
     /** Last event that the caller received from an earlier response. */
-    val lastEventId: String?
+    val lastEventId: String?,
+    /** Ids of the parts of the prompt that other requests may have in common with this one. */
+    val promptParts: List<String> = emptyList()
 )
 
 /** Metadata sent to an endpoint with a request. */
@@ -61,6 +63,9 @@
     /** Id of the request that a response belongs to; null when the response does not state it. */
     fun requestIdOf(header: (String) -> String?): RequestId?
 
+    /** Weight version on which a response began; null when the response does not state it. */
+    fun weightVersionOf(header: (String) -> String?): Long?
+
     /** Headers of a response that the gateway itself generates. */
     fun callerHeaders(id: RequestId): List<HeaderLine>
 }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/VersionGate.kt
@@ -24,7 +24,7 @@
 class VersionGate(private val boundMillis: Long) {
     private val targets = HashMap<ModelId, ArrayDeque<TargetVersion>>()
 
-    /** Records that [version] is set as a target version of [model]; its bound starts at [since]. */
+    /** Records that [version] is set as a target of [model]; its bound starts at [since]. */
     fun onTargetVersion(
         model: ModelId,
         version: Long,
@@ -47,6 +47,10 @@
     /** The newest target version of [model], or 0 when there is none. */
     fun newest(model: ModelId): Long = targets[model]?.lastOrNull()?.version ?: 0
 
+    /** Age of the bound of [version] at [now]; null if the version is unknown or no longer kept. */
+    fun ageMillis(model: ModelId, version: Long, now: ClockReading): Long? =
+        targets[model]?.lastOrNull { it.version == version }?.let { now.ageMillis(it.since) }
+
     /**
      * Lowest version on which a request for [model] may start at [now]; 0 for any.
      * [loadedMax] is the highest version that an endpoint has loaded.
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -52,6 +52,7 @@
 import org.toucanspur.platform.TargetVersion
 import org.toucanspur.platform.decodeConfiguration
 import org.toucanspur.platform.decodeEndpoint
+import org.toucanspur.schema.CrashEvidence
 import org.toucanspur.schema.Frame
 import org.toucanspur.schema.LoadQuery
 import org.toucanspur.schema.ModelId
@@ -122,7 +123,13 @@
         followKind(ObjectKind.CONFIGURATION, ConfigurationReader())
         followKind(
             ObjectKind.WEIGHT_VERSIONS,
-            WeightVersionListener(log, ListingAgeTracker(), ::onTargetVersionSet)
+            WeightVersionListener(
+                log,
+                systemClocks,
+                pauses,
+                ListingAgeTracker(),
+                ::onTargetVersionSet
+            )
         )
         loop.scope.launch { reportLoop() }
         loop.scope.launch { loadLoop() }
@@ -365,6 +372,7 @@
     private fun onFrame(frame: Frame, sender: InetSocketAddress) {
         when (frame) {
             is LoadQuery -> loadReporter.onQuery(sender)
+            is CrashEvidence -> loadReporter.relay(frame, sender)
             is PieceStatus -> onStatus(frame, sender)
             else -> Unit
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -11,8 +11,10 @@
 import org.toucanspur.core.gateway.AttemptOutcome
 import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallerRequestMetadata
+import org.toucanspur.core.gateway.EndpointRun
 import org.toucanspur.core.gateway.EndpointSignal
 import org.toucanspur.core.gateway.EventStreamSplitter
+import org.toucanspur.core.gateway.Fingerprint
 import org.toucanspur.core.gateway.FleetEndpoint
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.core.gateway.Organisation
@@ -20,6 +22,8 @@
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
+import org.toucanspur.core.gateway.partFingerprint
+import org.toucanspur.core.gateway.requestFingerprint
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.RequestId
@@ -29,9 +33,15 @@
     /** Codec for request and response headers. */
     val codec: RequestCodec
 
+    /** Observer of attempts that are lost. */
+    val crashes: CrashObserver
+
     /** Called when an attempt ends with [outcome]; the call may be sent to another endpoint. */
     fun onAttemptFailed(call: Call, outcome: AttemptOutcome, reason: String)
 
+    /** Called when the response of an [endpoint] that ran the request begins. */
+    fun onResponseBegun(call: Call, endpoint: FleetEndpoint)
+
     /** Called when the response of the endpoint is complete. */
     fun onResponseComplete(call: Call, status: Int)
 
@@ -91,10 +101,38 @@
     var endpoint: FleetEndpoint? = null
         private set
 
+    /** What the call has in common with others that may crash endpoints. */
+    val fingerprints: List<Fingerprint> by lazy(LazyThreadSafetyMode.NONE) {
+        metadata.promptParts.map { partFingerprint(service.id, it) } +
+            requestFingerprint(
+                service.id,
+                organisation?.id,
+                request.head.method().name(),
+                request.head.uri(),
+                request.body
+            )
+    }
+
+    /** Time at which the current or last attempt began. */
+    var sentMillis = 0L
+        private set
+
+    /** Run of the endpoint to which the current or last attempt was sent. */
+    var endpointRun: EndpointRun? = null
+        private set
+
+    /** Number of times that the current or last attempt received complete events. */
+    var attemptEvents = 0
+        private set
+
     /** Time at which the endpoint last sent data, or the start of the attempt if none was sent. */
     var lastProgressMillis = 0L
         private set
 
+    /** Weight version on which the current response began; null while it is unknown. */
+    var weightVersion: Long? = null
+        private set
+
     /** Time at which the first response byte was written to the caller; 0 before that. */
     var firstByteMillis = 0L
         private set
@@ -102,13 +140,12 @@
     /** Whether any endpoint may have executed the request. */
     var mayHaveExecuted = false
 
-    /** Lowest weight version on which the current attempt may start; 0 for any. */
-    var expectedVersion = 0L
-        private set
-
     /** Time to first byte predicted by the last placement. */
     var predictedMillis = 0.0
 
+    /** Lowest weight version allowed when the call was last sent. */
+    var versionMin = 0L
+
     /** Timer that fires at the deadline. */
     var deadlineTimer: ScheduledFuture<*>? = null
 
@@ -116,6 +153,7 @@
     private var responseHead: HttpResponse? = null
     private var eventSplitter: EventStreamSplitter? = null
     private var bufferedBody = ByteArrayOutputStream(0)
+    private var isSealed = false
 
     /** Whether a stream may be resumed at another endpoint. */
     val isResumable: Boolean get() = route.kind == CallKind.STREAM && route.isResumable
@@ -127,6 +165,14 @@
     val isAwaitingResponse: Boolean
         get() = exchange != null && responseHead == null && eventSplitter == null
 
+    /** Whether the response shows that the endpoint of the attempt runs the call. */
+    val hasProgressed: Boolean
+        get() = if (eventSplitter == null) {
+            responseHead != null
+        } else {
+            attemptEvents >= PROGRESS_EVENTS
+        }
+
     /** Sends the call to [target] through [newExchange], to start on [version] or any if 0. */
     fun send(
         target: FleetEndpoint,
@@ -135,13 +181,17 @@
         version: Long
     ) {
         endpoint = target
-        expectedVersion = version
+        versionMin = version
+        endpointRun = EndpointRun(target.record.id, target.record.startedAtMillis)
         exchange = newExchange
         responseHead = null
         eventSplitter = null
         bufferedBody = ByteArrayOutputStream(0)
-        lastProgressMillis = monotonicMillis()
-        target.onAttempt(lastProgressMillis)
+        weightVersion = null
+        attemptEvents = 0
+        sentMillis = monotonicMillis()
+        lastProgressMillis = sentMillis
+        target.onAttempt(sentMillis)
         newExchange.start(connectTimeoutMillis)
     }
 
@@ -196,6 +246,7 @@
         val status = response.status().code()
         val lookup = { name: String -> response.headers().get(name) }
         val respondedId = delegate.codec.requestIdOf(lookup)
+        weightVersion = delegate.codec.weightVersionOf(lookup)
         when {
             respondedId != null && respondedId != id -> onBrokenResponse(
                 "answer to another request"
@@ -212,6 +263,7 @@
     }
 
     private fun acceptResponse(response: HttpResponse, status: Int) {
+        endpoint?.let { delegate.onResponseBegun(this, it) }
         val observation =
             if (status >= FIRST_SERVER_ERROR) {
                 EndpointSignal.SERVER_ERROR
@@ -224,22 +276,25 @@
             return
         }
         responseHead = response
+        isSealed = delegate.codec.isSealed { response.headers().get(it) }
         val type = response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
         val isStream = route.kind == CallKind.STREAM && status in SUCCESS
         if (isStream || type.startsWith(EVENT_STREAM)) eventSplitter = EventStreamSplitter()
+        if (hasProgressed) delegate.crashes.onProgress(this)
     }
 
     private fun onNotExecuted(status: Int) {
-        val observation = if (status == MISDIRECTED) {
-            EndpointSignal.ADDRESS_REUSED
-        } else {
-            EndpointSignal.OVERLOADED
+        val observation = when {
+            status != MISDIRECTED -> EndpointSignal.OVERLOADED
+            versionMin > 0 -> EndpointSignal.OTHER_VERSION
+            else -> EndpointSignal.ADDRESS_REUSED
         }
         val reason = "endpoint answered $status without running it"
         failAttempt(observation, AttemptOutcome.TURNED_AWAY, reason)
     }
 
     private fun onServerError(status: Int) {
+        endpoint?.let { delegate.onResponseBegun(this, it) }
         failAttempt(
             EndpointSignal.SERVER_ERROR,
             AttemptOutcome.MAY_HAVE_RUN,
@@ -253,7 +308,12 @@
 
     private fun failAttempt(observation: EndpointSignal, outcome: AttemptOutcome, reason: String) {
         exchange?.cancel()
-        endpoint?.let { delegate.onEndpointObservation(this, it, observation) }
+        endpoint?.let {
+            delegate.onEndpointObservation(this, it, observation)
+            val wasLost = observation == EndpointSignal.TRANSPORT_FAILURE &&
+                outcome == AttemptOutcome.MAY_HAVE_RUN
+            if (wasLost) delegate.crashes.onLost(this)
+        }
         recordAttempt(outcome)
         releaseEndpoint()
         delegate.onAttemptFailed(this, outcome, reason)
@@ -274,6 +334,8 @@
         }
         if (batch == null) return
         commit()
+        attemptEvents++
+        if (attemptEvents == PROGRESS_EVENTS) delegate.crashes.onProgress(this)
         batch.lastEventId?.let { lastEventId = it }
         connection.writeChunk(batch.bytes)
     }
@@ -285,6 +347,10 @@
         }
         bufferedBody.write(bytes, 0, bytes.size)
         if (bufferedBody.size() <= BUFFERED_MAX_BYTES) return
+        if (!isSealed) {
+            onBrokenResponse("response without a seal is too long")
+            return
+        }
         commit()
         connection.writeChunk(bufferedBody.toByteArray())
     }
@@ -299,10 +365,13 @@
 
     override fun onEnd(exchange: EndpointExchange) {
         if (exchange !== this.exchange) return
-        if ((eventSplitter?.pendingBytes ?: 0) > 0) {
+        val events = eventSplitter
+        if (events != null && events.isInsideEvent) {
             onBrokenResponse("stream ended within an event")
             return
         }
+        if (events != null && events.pendingBytes > 0) bufferOrRelay(events.remainder())
+        if (!hasProgressed && attemptEvents > 0) delegate.crashes.onProgress(this)
         val response = responseHead
         val status = response?.status()?.code() ?: OK
         recordAttempt(AttemptOutcome.MAY_HAVE_RUN)
@@ -339,6 +408,9 @@
         const val OK = 200
         const val MISDIRECTED = 421
         const val FIRST_SERVER_ERROR = 500
+
+        // An endpoint may crash right after the first event.
+        const val PROGRESS_EVENTS = 2
         const val EVENT_STREAM = "text/event-stream"
 
         // Responses up to this size are buffered until they are complete, so that the request can
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -5,10 +5,12 @@
 package org.toucanspur.daemon.gateway
 
 import java.net.InetSocketAddress
+import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.AttemptHistory
 import org.toucanspur.core.gateway.AttemptOutcome
+import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallQueue
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRequestMetadata
@@ -36,6 +38,7 @@
     private val metrics: GatewayMetrics
 ) : CallDelegate {
     private val admission = CallAdmission(state)
+    override val crashes = CrashObserver(state, log, metrics)
     private val queue = CallQueue<Call>(QUEUE_MAX)
     private val activeCalls = LinkedHashSet<Call>()
     private val maxRemainingMillis = HashMap<String, Long>()
@@ -97,6 +100,10 @@
 
     private fun sendOrQueue(call: Call, isFirstAttempt: Boolean) {
         val now = monotonicMillis()
+        crashes.refusal(call, now)?.let {
+            refuse(call, it)
+            return
+        }
         val placement = place(call, now)
         if (placement is Placement.Send) {
             send(call, placement)
@@ -164,6 +171,10 @@
 
     private fun send(call: Call, placement: Placement.Send) {
         val now = monotonicMillis()
+        crashes.refusal(call, now)?.let {
+            refuse(call, it)
+            return
+        }
         val endpoint = placement.endpoint
         val versionMin = versionMin(call, now)
         val isResumed = call.isResumable && call.isCommitted
@@ -175,7 +186,7 @@
                 call.isOnTime || call.isCommitted,
                 call.organisation?.priority ?: call.route.priority
             ),
-            expectedVersion = versionMin.takeIf { it > 0 },
+            expectedVersion = expectedVersion(endpoint, versionMin, now),
             lastEventId = if (isResumed) call.lastEventId else call.metadata.lastEventId
         )
         val request = EndpointRequest(
@@ -197,6 +208,7 @@
             put("occupancy", endpoint.occupancy(now, state.entryCount(now)))
             put("reportAgeMillis", endpoint.reportAgeMillis(now))
             endpoint.nextLoadMillis(now)?.let { put("nextLoadMillis", it) }
+            putVersions(call, endpoint, versionMin, now)
             put("configuration", state.configuration?.version ?: 0)
             if (isRetry) put("send", call.executedAttempts + call.unexecutedAttempts + 1)
         }
@@ -205,6 +217,26 @@
         call.send(endpoint, exchange, CONNECT_TIMEOUT_MILLIS, versionMin)
     }
 
+    // The endpoint refuses any version other than its own, a newer one included.
+    private fun expectedVersion(endpoint: FleetEndpoint, versionMin: Long, nowMillis: Long): Long? {
+        if (versionMin == 0L) return null
+        return maxOf(versionMin, endpoint.loadedVersion(nowMillis) ?: 0)
+    }
+
+    private fun JsonObjectBuilder.putVersions(
+        call: Call,
+        endpoint: FleetEndpoint,
+        versionMin: Long,
+        nowMillis: Long
+    ) {
+        val model = call.metadata.model ?: return
+        val newest = state.versions.newest(model)
+        endpoint.loadedVersion(nowMillis)?.let { put("loadedVersion", it) }
+        put("versionMin", versionMin)
+        put("newestVersion", newest)
+        put("newestAgeMillis", state.versions.ageMillis(model, newest, systemClocks.now()) ?: -1)
+    }
+
     private fun refuseUnplaced(call: Call, placement: Placement) {
         val isBusy = placement is Placement.Busy
         val predicted = if (placement is Placement.Busy) {
@@ -278,6 +310,8 @@
             put("reason", reason)
             put("outcome", outcome.name)
             put("sends", call.executedAttempts)
+            put("events", call.attemptEvents)
+            put("parts", call.metadata.promptParts.joinToString(","))
         }
         val history =
             AttemptHistory(
@@ -308,6 +342,27 @@
         refuse(call, refusal)
     }
 
+    override fun onResponseBegun(call: Call, endpoint: FleetEndpoint) {
+        val model = call.metadata.model ?: return
+        val version = call.weightVersion ?: return
+        val now = monotonicMillis()
+        val sentAgoMillis = now - call.sentMillis
+        if (state.versions.newest(model) > call.versionMin) metrics.onHeadPending(sentAgoMillis)
+        val versionMin = versionMin(call, now)
+        if (version >= versionMin) return
+        metrics.outdated.increment()
+        log.event(EventCode.RESPONSE_OUTDATED) {
+            put("request", call.id.value)
+            put("endpoint", endpoint.record.id.value)
+            put("version", version)
+            put("versionMin", versionMin)
+            put("ageMillis", state.versions.ageMillis(model, versionMin, systemClocks.now()) ?: -1)
+            put("versionMinWhenSent", call.versionMin)
+            put("sentAgoMillis", sentAgoMillis)
+            put("isStream", call.route.kind == CallKind.STREAM)
+        }
+    }
+
     override fun onResponseComplete(call: Call, status: Int) {
         activeCalls -= call
         val total = monotonicMillis() - call.request.receivedMillis
@@ -320,6 +375,7 @@
             put("firstByteMillis", firstByte)
             put("totalMillis", total)
             put("sends", call.executedAttempts)
+            call.weightVersion?.let { put("weights", it) }
         }
     }
 
@@ -371,6 +427,7 @@
 
     private fun tick() {
         val now = monotonicMillis()
+        crashes.confirm(now)
         drainQueue()
         queue.removeExpired(now).forEach { onWaitExpired(it, now) }
         activeCalls.filter { it.isAwaitingResponse }.forEach { checkVersion(it, now) }
@@ -412,13 +469,14 @@
     private fun checkVersion(call: Call, nowMillis: Long) {
         val due = state.versions.versionDue(call.metadata.model, systemClocks.now())
         val loaded = call.endpoint?.loadedVersion(nowMillis) ?: 0
-        if (call.expectedVersion >= due || loaded >= due) return
+        if (call.versionMin >= due || loaded >= due) return
         call.withdraw("endpoint has not started it before version $due is due")
     }
 
     // Load pattern: connections of a failed or unreachable endpoint stay open but carry no data. A
     // repeatable call is sent to another endpoint, but only to one with free capacity.
     private fun checkStall(call: Call, nowMillis: Long) {
+        if (call.isCommitted && !call.isResumable) return
         if (nowMillis - call.lastProgressMillis < stallMillis(call.route, call.isCommitted)) return
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return
         val placement = place(call, nowMillis)
@@ -432,6 +490,7 @@
             put("reason", "silent")
             put("silentMillis", nowMillis - call.lastProgressMillis)
         }
+        crashes.onLost(call)
         call.cancelAttempt()
         call.mayHaveExecuted = true
         send(call, placement)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
@@ -25,6 +24,7 @@
 import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
 import org.toucanspur.daemon.net.NettyEventLoop
+import org.toucanspur.daemon.net.addResponseDecoder
 
 /** Callbacks of an exchange; [onEnd] or [onFailure] is the last one. */
 interface ExchangeListener {
@@ -59,7 +59,8 @@
     /** Connects to the endpoint and sends the request. */
     fun start(connectTimeoutMillis: Int) {
         val future = loop.connect(request.address, connectTimeoutMillis) {
-            it.pipeline().addLast(HttpClientCodec(), ResponseHandler())
+            it.pipeline().addResponseDecoder()
+            it.pipeline().addLast(ResponseHandler())
         }
         channel = future.channel()
         future.addListener { if (it.isSuccess) send() else fail("not connected: ${it.cause()}") }
@@ -97,7 +98,10 @@
             EMPTY_HEADERS
         )
         wasSent = true
-        channel?.writeAndFlush(full)
+        // A write that fails closes the channel without an exception in the pipeline.
+        channel?.writeAndFlush(full)?.addListener {
+            if (!it.isSuccess && resetReason == null) resetReason = it.cause().toString()
+        }
     }
 
     private fun fail(reason: String) {
@@ -129,7 +133,6 @@
                 return
             }
             if (message is HttpResponse) {
-                if (message.status().code() < FIRST_FINAL_STATUS) return
                 hasLength = HttpUtil.isTransferEncodingChunked(message) ||
                     message.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
                 listener.onHead(this@EndpointExchange, message)
@@ -158,7 +161,6 @@
     }
 
     private companion object {
-        const val FIRST_FINAL_STATUS = 200
         val EMPTY_HEADERS: HttpHeaders =
             DefaultHttpHeadersFactory.trailersFactory()
                 .newEmptyHeaders()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -15,7 +15,6 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
@@ -65,8 +64,8 @@
         fun start() {
             val connectMillis = minOf(call.timeoutMillis, CONNECT_TIMEOUT_MILLIS).toInt()
             val future = loop.connect(socketAddress(call.address), connectMillis) {
+                it.pipeline().addResponseDecoder()
                 it.pipeline().addLast(
-                    HttpClientCodec(),
                     HttpObjectAggregator(RESPONSE_MAX_BYTES),
                     ResponseHandler()
                 )
@@ -100,7 +99,10 @@
                 call.contentType?.let { request.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
             }
             isSent = true
-            channel?.writeAndFlush(request)
+            // A write that fails closes the channel, which ends a response without a length.
+            channel?.writeAndFlush(request)?.addListener {
+                if (!it.isSuccess) fail(it.cause().toString())
+            }
         }
 
         fun fail(reason: String) = finish(
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -3,179 +3,29 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotContain
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry
-import java.io.ByteArrayOutputStream
-import java.io.PrintStream
 import java.net.InetAddress
-import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
-import kotlin.random.Random
-import org.toucanspur.core.gateway.CallKind
-import org.toucanspur.core.gateway.CallerLimits
-import org.toucanspur.core.gateway.ClockReading
-import org.toucanspur.core.gateway.EndpointRecord
-import org.toucanspur.core.gateway.EngineTiming
-import org.toucanspur.core.gateway.Organisation
-import org.toucanspur.core.gateway.RouteTarget
-import org.toucanspur.core.gateway.TrafficConfiguration
-import org.toucanspur.core.gateway.TrafficRoute
-import org.toucanspur.core.gateway.TrafficService
-import org.toucanspur.core.platform.ObjectKind
-import org.toucanspur.daemon.log.DecisionLog
-import org.toucanspur.daemon.monotonicMillis
-import org.toucanspur.daemon.net.NettyEventLoop
-import org.toucanspur.schema.AddressesSection
-import org.toucanspur.schema.BoundsSection
-import org.toucanspur.schema.EndpointId
-import org.toucanspur.schema.EngineSection
-import org.toucanspur.schema.LimitsSection
-import org.toucanspur.schema.ModelId
-import org.toucanspur.schema.NodeConfiguration
-import org.toucanspur.schema.NodeRole
-import org.toucanspur.schema.NodeSection
-import org.toucanspur.schema.OrganisationId
-import org.toucanspur.schema.RegionId
-import org.toucanspur.schema.ServiceId
-import org.toucanspur.schema.StoreSection
-import org.toucanspur.schema.VmId
-import org.toucanspur.schema.ZoneId
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import org.toucanspur.core.events.EventCode
 
-private const val CALL_SECONDS = 20
-private const val VERSION_BOUND_MILLIS = 8000
-private val service = ServiceId("s")
-private val engineService = ServiceId("engine")
-private val model = ModelId("m")
-private val engine = EngineTiming(8, 1.0, 0.1, 0.0, 30_000.0, 6, 100, 50, 100_000)
+private fun JsonObject?.long(field: String): Long? = this?.get(field)?.jsonPrimitive?.long
 
-private fun settings() = NodeConfiguration(
-    NodeSection(NodeRole.ENTRY, VmId("vm"), "127.0.0.1", ZoneId("z"), RegionId("r"), "z:r"),
-    AddressesSection("127.0.0.1:0", "127.0.0.1:0", 1),
-    StoreSection("127.0.0.1:1"),
-    EngineSection("none", ServiceId("none")),
-    LimitsSection(430, 4200, 1000.0),
-    BoundsSection(2000, 8, 60_000, 5000, VERSION_BOUND_MILLIS, 0.2, 10, 100, 5, 120)
-)
-
-private fun route(
-    path: String,
-    kind: CallKind,
-    isResumable: Boolean = false,
-    target: ServiceId = service
-) = TrafficRoute(
-    name = path,
-    host = "h",
-    pathPrefix = path,
-    kind = kind,
-    targets = listOf(RouteTarget(target, 1)),
-    timeoutMillis = CALL_SECONDS * 1000L,
-    targetMillis = CALL_SECONDS * 1000L,
-    eventGapTargetMillis = CALL_SECONDS * 1000L,
-    priority = 0,
-    endpointsMax = 2,
-    isAnonymousAllowed = false,
-    isResumable = isResumable,
-    homeRegions = emptySet()
-)
-
-/** A gateway in front of scripted endpoints on the ports [endpoints]. */
-private class TestGateway(endpoints: List<Int>, isFresh: Boolean = true, isListed: Boolean = true) {
-    private val loop = NettyEventLoop()
-    private val log = DecisionLog(VmId("vm"), PrintStream(ByteArrayOutputStream()))
-    private val state = GatewayState(settings(), Random(1))
-    val port: Int
-
-    init {
-        val ready = CountDownLatch(1)
-        loop.executor.execute {
-            state.configuration = configuration()
-            if (isListed) state.listedKinds += ObjectKind.entries
-            if (isFresh) state.freshness.renew(systemClocks.now())
-            endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
-            ready.countDown()
-        }
-        ready.await()
-        val metrics = GatewayMetrics(SimpleMeterRegistry())
-        val dispatcher = CallDispatcher(loop, state, TestRequestCodec, log, metrics)
-        val server = GatewayServer(loop, state, dispatcher, connectionsMax = 100)
-        port = server.start(InetSocketAddress("127.0.0.1", 0)).port
-    }
-
-    private fun configuration() = TrafficConfiguration(
-        1,
-        listOf(
-            route("/idempotent/", CallKind.IDEMPOTENT),
-            route("/once/", CallKind.AT_MOST_ONCE),
-            route("/stream/", CallKind.STREAM, isResumable = true),
-            route("/engine/", CallKind.STREAM, isResumable = true, engineService)
-        ),
-        listOf(
-            TrafficService(service, "/health", 100, 0.0, null, emptyList(), null),
-            TrafficService(engineService, "/health", 100, 0.0, engine, emptyList(), null)
-        ).associateBy { it.id },
-        CallerLimits(16_384, 1000, 3000, 15_000),
-        listOf(Organisation(OrganisationId("acme"), setOf("k"), null, emptySet()))
-    )
-
-    private fun record(
-        index: Int,
-        port: Int,
-        recordService: ServiceId = service,
-        versions: Map<ModelId, Long> = emptyMap()
-    ) = EndpointRecord(
-        EndpointId("e$index"),
-        recordService,
-        "127.0.0.1",
-        port,
-        ZoneId("z"),
-        RegionId("r"),
-        slots = 8,
-        isReady = true,
-        coldRemainingMillis = 0,
-        loadedVersions = versions,
-        startedAtMillis = 0
-    )
-
-    private fun onLoop(action: () -> Unit) = loop.executor.submit(action).get()
-
-    /** Lists an engine on [port] that has loaded [version]. */
-    fun addEngine(port: Int, version: Long) = onLoop {
-        val versions = mapOf(model to version)
-        state.fleet.put(record(port, port, engineService, versions), monotonicMillis())
-    }
-
-    /** Records that [version] was set as a target version [ageMillis] ago. */
-    fun setTargetVersion(version: Long, ageMillis: Long) = onLoop {
-        val now = systemClocks.now()
-        val since = ClockReading(now.monotonicMillis - ageMillis, now.wallMillis - ageMillis)
-        state.versions.onTargetVersion(model, version, since)
-    }
-
-    /** Sends a request for [model] and returns everything received until the connection closes. */
-    fun callEngine(path: String = "/engine/"): String =
-        call(path, extraHeaders = "Model: ${model.value}\r\n")
-
-    /** Sends a request and returns everything received until the connection closes. */
-    fun call(
-        path: String,
-        key: String = "k",
-        extraHeaders: String = "",
-        body: String = "hello"
-    ): String = Socket("127.0.0.1", port).use { socket ->
-        socket.soTimeout = CALL_SECONDS * 1000
-        socket.send(
-            "POST $path HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: $key\r\n$extraHeaders" +
-                "Connection: close\r\nContent-Length: ${body.length}\r\n\r\n$body"
-        )
-        socket.getInputStream().readBytes().decodeToString()
-    }
-}
+private fun Socket.refuseVersion(request: ReceivedRequest) =
+    respond(request, "", "421 Misdirected Request", "Not-Run: 1\r\n")
 
 private fun event(id: Int) = "id: $id\ndata: token$id\n\n"
 
@@ -340,6 +190,39 @@
             }
         }
         describe("a request for a model with target versions") {
+            it("is accepted by an endpoint that has loaded a newer version than the required one") {
+                val first = endpoint { request, socket ->
+                    if (request.headers["version"] == "3") {
+                        socket.respondWithEvents(request, listOf(event(1)), isComplete = true)
+                    } else {
+                        socket.refuseVersion(request)
+                    }
+                }
+                val gateway = TestGateway(emptyList())
+                gateway.setTargetVersion(2, VERSION_BOUND_MILLIS.toLong())
+                gateway.setTargetVersion(3, ageMillis = 0)
+                gateway.addEngine(first.port, version = 3)
+                gateway.callEngine() shouldContain "token1"
+            }
+            it("is accepted by an endpoint that refused an earlier request for its version") {
+                val hasRefused = AtomicBoolean()
+                val refusingOnce: (ReceivedRequest, Socket) -> Unit = { request, socket ->
+                    if (hasRefused.compareAndSet(false, true)) {
+                        socket.refuseVersion(request)
+                    } else {
+                        socket.respondWithEvents(request, listOf(event(1)), isComplete = true)
+                    }
+                }
+                val endpoints = List(2) { endpoint(refusingOnce) }
+                val gateway = TestGateway(emptyList())
+                gateway.setTargetVersion(2, VERSION_BOUND_MILLIS.toLong())
+                endpoints.forEach { gateway.addEngine(it.port, version = 2) }
+                val first = gateway.callEngine()
+                first shouldContain "token1"
+                // The other endpoint can no longer be reached.
+                endpoints.single { first.contains("Seal: ${it.port}") }.close()
+                gateway.callEngine() shouldContain "token1"
+            }
             it("does not start on an older version after the bound while it is queued there") {
                 val isQueued = CountDownLatch(1)
                 val hasMoved = CountDownLatch(1)
@@ -370,6 +253,131 @@
                 newer.received.size shouldBe 1
             }
         }
+        describe("a request for a model with a pending target version") {
+            it("is logged with the version believed loaded, the lowest allowed and the newest") {
+                val first = endpoint { request, socket -> socket.respond(request, "fine") }
+                val gateway = TestGateway(listOf(first.port))
+                gateway.setTargetVersion(version = 3, ageMillis = 60_000)
+                gateway.setTargetVersion(version = 4, ageMillis = 1000)
+                gateway.call("/once/", extraHeaders = "Model: m\r\n") shouldContain "fine"
+                val event = gateway.events.next(EventCode.REQUEST_DISPATCHED)
+                event.long("loadedVersion") shouldBe 3
+                event.long("versionMin") shouldBe 3
+                event.long("newestVersion") shouldBe 4
+                event.long("newestAgeMillis").shouldNotBeNull() shouldBeGreaterThanOrEqual 1000
+            }
+        }
+        describe("the weight version on which a response began") {
+            val versions = "Seal: s\r\nVersion: 2\r\n"
+            it("is logged when the response is complete") {
+                val first = endpoint { request, socket ->
+                    socket.respond(request, "fine", headers = versions)
+                }
+                val gateway = TestGateway(listOf(first.port))
+                gateway.call("/once/", extraHeaders = "Model: m\r\n") shouldContain "fine"
+                gateway.events.next(EventCode.REQUEST_ANSWERED).long("weights") shouldBe 2
+                gateway.outdatedCount shouldBe 0
+            }
+            it("is logged and counted if it is older than the one required when it was sent") {
+                val first = endpoint { request, socket ->
+                    socket.respond(request, "fine", headers = versions)
+                }
+                val gateway = TestGateway(listOf(first.port))
+                gateway.setTargetVersion(version = 3, ageMillis = 60_000)
+                gateway.call("/once/", extraHeaders = "Model: m\r\n") shouldContain "fine"
+                val event = gateway.events.next(EventCode.RESPONSE_OUTDATED)
+                event.long("version") shouldBe 2
+                event.long("versionMin") shouldBe 3
+                event.long("versionMinWhenSent") shouldBe 3
+                event.long("ageMillis").shouldNotBeNull() shouldBeGreaterThanOrEqual 60_000
+                gateway.outdatedCount shouldBe 1
+            }
+            it("is logged and counted if a newer one became required after it was sent") {
+                val (toStart, toFinish) = List(2) { CountDownLatch(1) }
+                val first = endpoint { request, socket ->
+                    toStart.countDown()
+                    toFinish.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
+                    socket.respond(request, "fine", headers = versions)
+                }
+                val gateway = TestGateway(listOf(first.port))
+                val caller = thread { gateway.call("/once/", extraHeaders = "Model: m\r\n") }
+                toStart.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS) shouldBe true
+                gateway.setTargetVersion(version = 3, ageMillis = 60_000)
+                toFinish.countDown()
+                caller.join()
+                val event = gateway.events.next(EventCode.RESPONSE_OUTDATED)
+                event.long("versionMin") shouldBe 3
+                event.long("versionMinWhenSent") shouldBe 0
+                gateway.outdatedCount shouldBe 1
+            }
+        }
+        describe("requests with a part that crashes endpoints") {
+            var gateway: TestGateway? = null
+            val crashes = AtomicInteger()
+            val deadly = "Parts: first,deadly\r\n"
+            val sound = "Parts: first,other\r\n"
+            val script: (ReceivedRequest, Socket) -> Unit = { request, socket ->
+                if (request.headers["parts"].orEmpty().contains("deadly")) {
+                    crashes.incrementAndGet()
+                    gateway?.onRestart(socket.localPort)
+                } else {
+                    val events = (1..3).map(::event)
+                    socket.respondWithEvents(request, events, isComplete = true)
+                }
+            }
+            fun crashThrice(): TestGateway {
+                crashes.set(0)
+                val created = TestGateway(List(4) { endpoint(script).port })
+                gateway = created
+                repeat(2) {
+                    created.call("/stream/", extraHeaders = deadly, body = "deadly $it")
+                }
+                repeat(8) { created.call("/stream/", extraHeaders = sound) shouldContain "token3" }
+                return created
+            }
+            it("are refused without being executed after three crashes, others are served") {
+                val created = crashThrice()
+                val before = crashes.get()
+                repeat(5) {
+                    val refused = created.call("/stream/", extraHeaders = deadly, body = "new $it")
+                    refused shouldContain "503"
+                    refused shouldContain "Retry-After"
+                }
+                crashes.get() shouldBe before
+                created.call("/stream/", extraHeaders = sound) shouldContain "token3"
+            }
+            it("are refused after three crashes by the same at-most-once request") {
+                val executed = AtomicInteger()
+                var created: TestGateway? = null
+                val endpoints = List(4) {
+                    endpoint { request, socket ->
+                        if (request.body == "same") {
+                            executed.incrementAndGet()
+                            created?.onRestart(socket.localPort)
+                        } else {
+                            socket.respond(request, "fine")
+                        }
+                    }
+                }
+                val running = TestGateway(endpoints.map { it.port })
+                created = running
+                repeat(3) { running.call("/once/", body = "same") shouldContain "502" }
+                repeat(8) { running.call("/once/", body = "other") shouldContain "fine" }
+                repeat(3) { running.call("/once/", body = "same") shouldContain "503" }
+                executed.get() shouldBe 3
+            }
+            it("are served when connections are lost but no endpoint went down") {
+                val endpoints = List(4) {
+                    endpoint { request, socket ->
+                        if (request.body != "lost") socket.respond(request, "fine")
+                    }
+                }
+                val running = TestGateway(endpoints.map { it.port })
+                repeat(6) { running.call("/once/", body = "lost") shouldContain "502" }
+                repeat(8) { running.call("/once/", body = "other") shouldContain "fine" }
+                running.call("/once/", body = "lost") shouldContain "502"
+            }
+        }
         describe("a connection") {
             it("serves pipelined requests") {
                 val first = endpoint { request, socket -> socket.respond(request, "fine") }
--- /dev/null
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -0,0 +1,189 @@
+package org.toucanspur.daemon.gateway
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import java.net.InetSocketAddress
+import java.net.Socket
+import kotlin.random.Random
+import org.toucanspur.core.gateway.CallKind
+import org.toucanspur.core.gateway.CallerLimits
+import org.toucanspur.core.gateway.ClockReading
+import org.toucanspur.core.gateway.EndpointRecord
+import org.toucanspur.core.gateway.EngineTiming
+import org.toucanspur.core.gateway.Organisation
+import org.toucanspur.core.gateway.RouteTarget
+import org.toucanspur.core.gateway.TrafficConfiguration
+import org.toucanspur.core.gateway.TrafficRoute
+import org.toucanspur.core.gateway.TrafficService
+import org.toucanspur.core.platform.ObjectKind
+import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.daemon.net.NettyEventLoop
+import org.toucanspur.schema.AddressesSection
+import org.toucanspur.schema.BoundsSection
+import org.toucanspur.schema.EndpointId
+import org.toucanspur.schema.EngineSection
+import org.toucanspur.schema.LimitsSection
+import org.toucanspur.schema.ModelId
+import org.toucanspur.schema.NodeConfiguration
+import org.toucanspur.schema.NodeRole
+import org.toucanspur.schema.NodeSection
+import org.toucanspur.schema.OrganisationId
+import org.toucanspur.schema.RegionId
+import org.toucanspur.schema.ServiceId
+import org.toucanspur.schema.StoreSection
+import org.toucanspur.schema.VmId
+import org.toucanspur.schema.ZoneId
+
+/** Time limit of the calls of a [TestGateway]. */
+const val CALL_SECONDS = 20
+
+/** Bound of a target version at a [TestGateway]. */
+const val VERSION_BOUND_MILLIS = 8000
+private val service = ServiceId("s")
+private val engineService = ServiceId("engine")
+private val model = ModelId("m")
+private val engine = EngineTiming(8, 1.0, 0.1, 0.0, 30_000.0, 6, 100, 50, 100_000)
+
+private fun settings() = NodeConfiguration(
+    NodeSection(NodeRole.ENTRY, VmId("vm"), "127.0.0.1", ZoneId("z"), RegionId("r"), "z:r"),
+    AddressesSection("127.0.0.1:0", "127.0.0.1:0", 1),
+    StoreSection("127.0.0.1:1"),
+    EngineSection("none", ServiceId("none")),
+    LimitsSection(430, 4200, 1000.0),
+    BoundsSection(2000, 8, 60_000, 5000, VERSION_BOUND_MILLIS, 0.2, 10, 100, 5, 120)
+)
+
+private fun route(
+    path: String,
+    kind: CallKind,
+    targetMillis: Long,
+    isResumable: Boolean = false,
+    target: ServiceId = service
+) = TrafficRoute(
+    name = path,
+    host = "h",
+    pathPrefix = path,
+    kind = kind,
+    targets = listOf(RouteTarget(target, 1)),
+    timeoutMillis = CALL_SECONDS * 1000L,
+    targetMillis = targetMillis,
+    eventGapTargetMillis = targetMillis,
+    priority = 0,
+    endpointsMax = 2,
+    isAnonymousAllowed = false,
+    isResumable = isResumable,
+    homeRegions = emptySet()
+)
+
+/** A gateway in front of scripted endpoints on the ports [endpoints]. */
+class TestGateway(
+    private val endpoints: List<Int>,
+    isFresh: Boolean = true,
+    isListed: Boolean = true,
+    private val targetMillis: Long = CALL_SECONDS * 1000L,
+    private val bodyMaxBytes: Int = 1000
+) {
+    private val loop = NettyEventLoop()
+    private val registry = SimpleMeterRegistry()
+
+    /** Events that the gateway logs. */
+    val events = LogCapture()
+    private val state = GatewayState(settings(), Random(1))
+    private var starts = 0L
+
+    /** Port for callers on the loopback address. */
+    val port: Int
+
+    init {
+        onLoop {
+            state.configuration = configuration()
+            if (isListed) state.listedKinds += ObjectKind.entries
+            if (isFresh) state.freshness.renew(systemClocks.now())
+            endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
+        }
+        val metrics = GatewayMetrics(registry)
+        val dispatcher = CallDispatcher(loop, state, TestRequestCodec, events.log, metrics)
+        val server = GatewayServer(loop, state, dispatcher, connectionsMax = 100)
+        port = server.start(InetSocketAddress("127.0.0.1", 0)).port
+    }
+
+    private fun onLoop(action: () -> Unit) = loop.executor.submit(action).get()
+
+    private fun configuration() = TrafficConfiguration(
+        1,
+        listOf(
+            route("/idempotent/", CallKind.IDEMPOTENT, targetMillis),
+            route("/once/", CallKind.AT_MOST_ONCE, targetMillis),
+            route("/stream/", CallKind.STREAM, targetMillis, isResumable = true),
+            route("/engine/", CallKind.STREAM, targetMillis, isResumable = true, engineService)
+        ),
+        listOf(
+            TrafficService(service, "/health", 100, 0.0, null, emptyList(), null),
+            TrafficService(engineService, "/health", 100, 0.0, engine, emptyList(), null)
+        ).associateBy { it.id },
+        CallerLimits(16_384, bodyMaxBytes, 3000, 15_000),
+        listOf(Organisation(OrganisationId("acme"), setOf("k"), null, emptySet()))
+    )
+
+    private fun record(
+        index: Int,
+        port: Int,
+        recordService: ServiceId = service,
+        versions: Map<ModelId, Long> = mapOf(model to 3),
+        startedAtMillis: Long = 0
+    ) = EndpointRecord(
+        EndpointId("e$index"),
+        recordService,
+        "127.0.0.1",
+        port,
+        ZoneId("z"),
+        RegionId("r"),
+        slots = 8,
+        isReady = true,
+        coldRemainingMillis = 0,
+        loadedVersions = versions,
+        startedAtMillis = startedAtMillis
+    )
+
+    /** Lists the endpoint on [endpointPort] as restarted. */
+    fun onRestart(endpointPort: Int) = onLoop {
+        val index = endpoints.indexOf(endpointPort)
+        state.fleet.put(record(index, endpointPort, startedAtMillis = ++starts), 0)
+    }
+
+    /** Lists an engine on [port] that has loaded [version]. */
+    fun addEngine(port: Int, version: Long) = onLoop {
+        val versions = mapOf(model to version)
+        state.fleet.put(record(port, port, engineService, versions), monotonicMillis())
+    }
+
+    /** Records that [version] was set as a target version [ageMillis] ago. */
+    fun setTargetVersion(version: Long, ageMillis: Long) = onLoop {
+        val now = systemClocks.now()
+        val since = ClockReading(now.monotonicMillis - ageMillis, now.wallMillis - ageMillis)
+        state.versions.onTargetVersion(model, version, since)
+    }
+
+    /** Sends a request for [model] and returns everything received until the connection closes. */
+    fun callEngine(path: String = "/engine/"): String =
+        call(path, extraHeaders = "Model: ${model.value}\r\n")
+
+    /** Number of responses counted as outdated. */
+    val outdatedCount: Long get() = registry.counter(
+        "toucanspur.responses.outdated"
+    ).count().toLong()
+
+    /** Sends a request and returns everything received until the connection closes. */
+    fun call(
+        path: String,
+        key: String = "k",
+        extraHeaders: String = "",
+        body: String = "hello"
+    ): String = Socket("127.0.0.1", port).use { socket ->
+        socket.soTimeout = CALL_SECONDS * 1000
+        socket.send(
+            "POST $path HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: $key\r\n$extraHeaders" +
+                "Connection: close\r\nContent-Length: ${body.length}\r\n\r\n$body"
+        )
+        socket.getInputStream().readBytes().decodeToString()
+    }
+}
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
@@ -18,7 +18,8 @@
         model = header("Model")?.let(::ModelId),
         promptTokens = null,
         outputTokensMax = null,
-        lastEventId = header("Last")
+        lastEventId = header("Last"),
+        promptParts = header("Parts")?.split(',').orEmpty()
     )
 
     override fun isReplaced(name: String) = name.lowercase() in setOf("left", "key", "last")
@@ -36,5 +37,7 @@
 
     override fun requestIdOf(header: (String) -> String?) = header("Id")?.let(::RequestId)
 
+    override fun weightVersionOf(header: (String) -> String?) = header("Version")?.toLong()
+
     override fun callerHeaders(id: RequestId) = listOf(HeaderLine("Id", id.value))
 }
