Refuse repeated requests that crash endpoints after the response began

Callers saw 502 and broken streams for sound requests, because endpoints kept crashing under one request that was repeated unchanged.

Cause: the status of a plain response and the second event of a stream counted as progress and cleared the suspect, so that an endpoint which crashed later within the response was never held against its request.

Change: a whole request is cleared only by a complete response, and every lost attempt counts against it. Prompt parts are still cleared by the second event, and a stream lost after that accuses its request only: a popular part is on most streams that run when an endpoint crashes.

CrashSuspectsSimulationTest follows the same rules and passes with its bounds unchanged.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
@@ -1,8 +1,9 @@
 /*
  * Finds the requests that crash endpoints and refuses them. The suspects of a crash are the
- * fingerprints of the requests that were about to begin at the endpoint: one for each shared part
- * of the prompt, and one for the request as a whole. A fingerprint with which any response has
- * progressed since is cleared, so that parts which are merely popular are not refused. Crashes are
+ * fingerprints of the requests that ran at the endpoint: one for each shared part of the prompt, if
+ * the request was about to begin, and one for the request as a whole. A part with which any response has progressed
+ * since is cleared, so that parts which are merely popular are not refused; a whole request is
+ * cleared only by a complete response, as an endpoint may crash within it. Crashes are
  * counted only one after the other: a crash counts if its request was sent after the last counted
  * crash, so that endpoints which fail together, such as those of one availability zone, count
  * once. Nothing is refused while the service makes no progress with other requests either.
@@ -58,7 +59,7 @@
     val fingerprint: Fingerprint by lazy { fingerprint("endpoint", id.value, "$startedAtMillis") }
 }
 
-/** An attempt that was lost before its response progressed. */
+/** An attempt that was lost before its response was complete; [fingerprints] are suspects. */
 data class LostAttempt(
     val endpoint: EndpointRun,
     val fingerprints: List<Fingerprint>,
@@ -135,17 +136,19 @@
         return confirmed
     }
 
-    /** Clears [fingerprints], with which a response of [service] has progressed. */
-    fun onProgress(service: ServiceId, fingerprints: List<Fingerprint>, nowMillis: Long) {
+    /** Records that a response of [service] has progressed. */
+    fun onResponse(service: ServiceId, nowMillis: Long) {
         val responses = recentResponses.getOrPut(service) { ArrayDeque() }
         responses.addLast(nowMillis)
         if (responses.size > limits.otherResponsesMin) responses.removeFirst()
-        fingerprints.forEach {
-            progressMillis[it] = nowMillis
-            if (suspects.remove(it) != null) {
-                clearedMillis[it] = nowMillis
-                revision++
-            }
+    }
+
+    /** Clears [fingerprints], with which a response shows that they do not crash endpoints. */
+    fun clear(fingerprints: List<Fingerprint>, nowMillis: Long) = fingerprints.forEach {
+        progressMillis[it] = nowMillis
+        if (suspects.remove(it) != null) {
+            clearedMillis[it] = nowMillis
+            revision++
         }
     }
 
@@ -208,7 +211,7 @@
         val fingerprint = Fingerprint(item.fingerprint)
         val seenMillis = nowMillis - item.seenAgeMillis
         if (item.crashes.isEmpty()) {
-            clear(fingerprint, seenMillis)
+            clearUntil(fingerprint, seenMillis)
             return
         }
         val crashes = item.crashes.take(CRASHES_KEPT).map {
@@ -284,7 +287,7 @@
         }
     }
 
-    private fun clear(fingerprint: Fingerprint, progressedMillis: Long) {
+    private fun clearUntil(fingerprint: Fingerprint, progressedMillis: Long) {
         val known = progressMillis[fingerprint] ?: Long.MIN_VALUE
         progressMillis[fingerprint] = maxOf(known, progressedMillis)
         val suspect = suspects[fingerprint] ?: return
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsSimulationTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsSimulationTest.kt
@@ -139,11 +139,16 @@
         }
         started.hasProgressed = true
         val table = tables[started.request.entry]
-        table.onProgress(writers, started.request.fingerprints, nowMillis)
-        at(nowMillis + STREAM_MILLIS) {
-            started.isOver = true
-            running[started.endpoint] -= started
-        }
+        table.onResponse(writers, nowMillis)
+        table.clear(started.request.fingerprints.dropLast(1), nowMillis)
+        at(nowMillis + STREAM_MILLIS) { complete(started) }
+    }
+
+    private fun complete(started: Running) {
+        if (started.isOver) return
+        started.isOver = true
+        running[started.endpoint] -= started
+        tables[started.request.entry].clear(started.request.fingerprints, nowMillis)
     }
 
     private fun crashAny() {
@@ -159,9 +164,9 @@
         val lostMillis = nowMillis
         lost.forEach {
             it.isOver = true
-            if (it.hasProgressed) return@forEach
-            val attempt =
-                LostAttempt(it.run, it.request.fingerprints, it.sentMillis, lostMillis)
+            val fingerprints = it.request.fingerprints
+            val suspected = if (it.hasProgressed) fingerprints.takeLast(1) else fingerprints
+            val attempt = LostAttempt(it.run, suspected, it.sentMillis, lostMillis)
             tables[it.request.entry].onLost(attempt)
             if (it.request.sends < 2) send(it.request)
         }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsTest.kt
@@ -31,7 +31,7 @@
 }
 
 private fun CrashSuspects.serve(nowMillis: Long, fingerprint: Fingerprint = popular) =
-    repeat(8) { onProgress(writers, listOf(fingerprint), nowMillis) }
+    repeat(8) { onComplete(writers, listOf(fingerprint), nowMillis) }
 
 private fun CrashSuspects.refuses(fingerprint: Fingerprint, nowMillis: Long) =
     isRefused(writers, listOf(fingerprint), nowMillis)
@@ -79,7 +79,7 @@
             }
             it("is accepted again once a response with it has progressed") {
                 val suspects = refusing()
-                suspects.onProgress(writers, listOf(deadly), 1500)
+                suspects.onComplete(writers, listOf(deadly), 1500)
                 suspects.refuses(deadly, 1500) shouldBe false
             }
         }
@@ -159,7 +159,7 @@
                     suspects.confirm(sent + 80, fleet::hasCrashed).size shouldBe 1
                 }
                 repeat(8) {
-                    suspects.onProgress(ledger, listOf(fingerprintOf("other $it")), 1300)
+                    suspects.onComplete(ledger, listOf(fingerprintOf("other $it")), 1300)
                 }
                 suspects.isRefused(ledger, listOf(fingerprintOf("same")), 1300) shouldBe true
                 suspects.isRefused(ledger, listOf(fingerprintOf("next")), 1300) shouldBe false
@@ -217,7 +217,7 @@
                 val first = refusing()
                 val second = CrashSuspects()
                 second.merge(first.evidence(2000), 2000)
-                second.onProgress(writers, listOf(deadly), 2100)
+                second.onComplete(writers, listOf(deadly), 2100)
                 first.merge(second.evidence(2200), 2200)
                 first.refuses(deadly, 2200) shouldBe false
             }
@@ -225,7 +225,7 @@
                 val first = CrashSuspects()
                 val second = CrashSuspects()
                 first.crash(attempt(0, 1000))
-                second.onProgress(writers, listOf(deadly, popular), 1200)
+                second.onComplete(writers, listOf(deadly, popular), 1200)
                 second.merge(first.evidence(1300), 1300)
                 first.merge(second.evidence(1400), 1400)
                 first.size shouldBe 0
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/GatewayFixture.kt
@@ -23,6 +23,12 @@
     kvCacheTokens = 685_000
 )
 
+/** Records a complete response of [service] with [fingerprints]. */
+fun CrashSuspects.onComplete(service: ServiceId, fingerprints: List<Fingerprint>, nowMillis: Long) {
+    onResponse(service, nowMillis)
+    clear(fingerprints, nowMillis)
+}
+
 fun service(
     id: ServiceId = writers,
     timing: EngineTiming? = engine,
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -102,15 +102,19 @@
         private set
 
     /** What the call has in common with others that may crash endpoints. */
-    val fingerprints: List<Fingerprint> by lazy(LazyThreadSafetyMode.NONE) {
-        metadata.promptParts.map { partFingerprint(service.id, it) } +
-            requestFingerprint(
-                service.id,
-                organisation?.id,
-                request.head.method().name(),
-                request.head.uri(),
-                request.body
-            )
+    val partFingerprints: List<Fingerprint> by lazy(LazyThreadSafetyMode.NONE) {
+        metadata.promptParts.map { partFingerprint(service.id, it) }
+    }
+
+    /** What identifies the call when a caller repeats it. */
+    val ownFingerprint: Fingerprint by lazy(LazyThreadSafetyMode.NONE) {
+        requestFingerprint(
+            service.id,
+            organisation?.id,
+            request.head.method().name(),
+            request.head.uri(),
+            request.body
+        )
     }
 
     /** Time at which the current or last attempt began. */
@@ -165,13 +169,8 @@
     val isAwaitingResponse: Boolean
         get() = exchange != null && responseHead == null && eventSplitter == null
 
-    /** Whether the response shows that the endpoint of the attempt runs the call. */
-    val hasProgressed: Boolean
-        get() = if (eventSplitter == null) {
-            responseHead?.status()?.code() in SUCCESS
-        } else {
-            attemptEvents >= PROGRESS_EVENTS
-        }
+    /** Whether the endpoint of the attempt has begun a stream without crashing at its begin. */
+    val hasProgressed: Boolean get() = attemptEvents >= PROGRESS_EVENTS
 
     /** Sends the call to [target] through [newExchange], to start on [version] or any if 0. */
     fun send(
@@ -280,7 +279,6 @@
         val type = response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
         val isStream = route.kind == CallKind.STREAM && status in SUCCESS
         if (isStream || type.startsWith(EVENT_STREAM)) eventSplitter = EventStreamSplitter()
-        if (hasProgressed) delegate.crashes.onProgress(this)
     }
 
     private fun onNotExecuted(status: Int) {
@@ -371,9 +369,9 @@
             return
         }
         if (events != null && events.pendingBytes > 0) bufferOrRelay(events.remainder())
-        if (!hasProgressed && attemptEvents > 0) delegate.crashes.onProgress(this)
         val response = responseHead
         val status = response?.status()?.code() ?: OK
+        if (status in SUCCESS) delegate.crashes.onComplete(this)
         recordAttempt(AttemptOutcome.MAY_HAVE_RUN)
         releaseEndpoint()
         complete(response, status)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CrashObserver.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CrashObserver.kt
@@ -6,6 +6,7 @@
 
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.gateway.Fingerprint
 import org.toucanspur.core.gateway.LostAttempt
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
@@ -18,16 +19,34 @@
 ) {
     private val suspects = state.crashSuspects
 
-    /** Records that the current attempt of [call] was lost, if its response had not progressed. */
+    /**
+     * Records that the current attempt of [call] was lost. Once a stream has progressed, only the
+     * request itself is under suspicion: a popular part is on most of the streams that an endpoint
+     * runs when it crashes.
+     */
     fun onLost(call: Call) {
-        val run = call.endpointRun
-        if (run == null || call.hasProgressed) return
-        suspects.onLost(LostAttempt(run, call.fingerprints, call.sentMillis, monotonicMillis()))
+        val run = call.endpointRun ?: return
+        val fingerprints =
+            if (call.hasProgressed) listOf(call.ownFingerprint) else fingerprints(call)
+        suspects.onLost(LostAttempt(run, fingerprints, call.sentMillis, monotonicMillis()))
     }
 
-    /** Records that the response of the current attempt of [call] has progressed. */
-    fun onProgress(call: Call) =
-        suspects.onProgress(call.service.id, call.fingerprints, monotonicMillis())
+    /** Records that the stream of the current attempt of [call] has progressed. */
+    fun onProgress(call: Call) {
+        val now = monotonicMillis()
+        suspects.onResponse(call.service.id, now)
+        suspects.clear(call.partFingerprints, now)
+    }
+
+    /** Records that the response to [call] is a complete success. */
+    fun onComplete(call: Call) {
+        val now = monotonicMillis()
+        if (!call.hasProgressed) suspects.onResponse(call.service.id, now)
+        suspects.clear(fingerprints(call), now)
+    }
+
+    private fun fingerprints(call: Call): List<Fingerprint> =
+        call.partFingerprints + call.ownFingerprint
 
     /** Counts the lost attempts whose endpoints have been found to be down. */
     fun confirm(nowMillis: Long) {
@@ -50,7 +69,7 @@
     /** The response to [call] if requests like it crash endpoints, or null. */
     fun refusal(call: Call, nowMillis: Long): Refusal? {
         if (suspects.size == 0) return null
-        if (!suspects.isRefused(call.service.id, call.fingerprints, nowMillis)) return null
+        if (!suspects.isRefused(call.service.id, fingerprints(call), nowMillis)) return null
         metrics.crashSuspects.increment()
         return if (call.mayHaveExecuted) {
             Refusal(BAD_GATEWAY, REASON)
