Confirm crashes of endpoints without an agent

Callers of a service without agents saw endpoints crash under one repeated request without end: nothing was counted against it.

Cause: an entry learns that such an endpoint is down only from its record, which expires after three heartbeats (3.6 s) or names another run once the endpoint is back, and a lost attempt was forgotten after 3.0 s. So no crash was ever confirmed there, unless a record went earlier.

Change: lost attempts are kept for five heartbeats ([store] heartbeat-millis, from the platform's settings), and a refused connection confirms the crash at once, unless the endpoint has responded since. An agent's report that the endpoint is down counts for 3 s after the loss, as before.

Evidence: CrashSuspectsTest "is refused at a service without agents when records expire late" failed before (accepted in place of refused). The test of the confirmation time states its 3 s now, as the default has changed.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
@@ -113,7 +113,7 @@
     private fun settings() = NodeConfiguration(
         NodeSection(NodeRole.ENTRY, VmId("vm"), "127.0.0.1", ZoneId("z"), RegionId("r"), "z:r"),
         AddressesSection("127.0.0.1:$callersPort", "127.0.0.1:$readinessPort", peerPort),
-        StoreSection(store.address),
+        StoreSection(store.address, 1200),
         EngineSection("none", ServiceId("none")),
         LimitsSection(430, 4200, 1000.0),
         BoundsSection(2000, 60, 60_000, 5000, 8000, 0.2, 10, 100, 5, 120)
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
@@ -73,15 +73,18 @@
     val crashesMax: Int = 3,
     /** Responses of the service that must have progressed since the first of these crashes. */
     val otherResponsesMin: Int = 4,
-    /** Time within which a lost attempt is a crash if its endpoint is found to be down. */
-    val confirmationMillis: Long = 3000,
+    /**
+     * Time within which a lost attempt is a crash if its endpoint is found to be down. Longer than
+     * the expiry of a record, which may be all that shows the crash of an endpoint without agent.
+     */
+    val confirmationMillis: Long = 6000,
     /** Time after which crashes of a fingerprint that is not refused are forgotten. */
     val memoryMillis: Long = 60_000,
     /** Time for which a fingerprint is refused after the last request with it. */
     val refusalMillis: Long = 600_000,
     val suspectsMax: Int = 1024,
     val progressMax: Int = 4096,
-    val lostAttemptsMax: Int = 256
+    val lostAttemptsMax: Int = 512
 )
 
 /** Evidence of one entry and of those with which it exchanges evidence. Not thread-safe. */
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -31,25 +31,25 @@
     val startedAtMillis: Long
 )
 
-/** Health signal that a call gives about an endpoint. */
-enum class EndpointSignal {
+/** Health signal that a call gives about an endpoint; [isResponse] if the endpoint responded. */
+enum class EndpointSignal(val isResponse: Boolean) {
     /** A successful response started. */
-    SUCCEEDED,
+    SUCCEEDED(true),
 
     /** The endpoint refused the request for lack of capacity and did not execute it. */
-    OVERLOADED,
+    OVERLOADED(true),
 
     /** The connection failed, or the response stalled, broke off or was invalid. */
-    TRANSPORT_FAILURE,
+    TRANSPORT_FAILURE(false),
 
     /** The endpoint returned a server error. */
-    SERVER_ERROR,
+    SERVER_ERROR(true),
 
     /** A different endpoint now uses the address. */
-    ADDRESS_REUSED,
+    ADDRESS_REUSED(false),
 
     /** The endpoint refused the expected weight version, or a different one uses the address. */
-    OTHER_VERSION
+    OTHER_VERSION(false)
 }
 
 /** State of one endpoint. Counts cover this entry only, unless they come from a load report. */
@@ -75,6 +75,8 @@
     private var isAddressReused = false
     private var slowPathUntilMillis = 0L
     private var unresponsiveMillis = Long.MIN_VALUE
+    private var connectionRefusedMillis = Long.MIN_VALUE
+    private var respondedMillis = Long.MIN_VALUE
 
     /** Whether a more recently started endpoint is listed at the same address. */
     var isSuperseded = false
@@ -176,6 +178,7 @@
         }
         failureScore = score(nowMillis) * (1 - SIGNAL_WEIGHT) + weight * SIGNAL_WEIGHT
         scoreUpdatedMillis = nowMillis
+        if (signal.isResponse) respondedMillis = nowMillis
         when (signal) {
             EndpointSignal.SUCCEEDED -> consecutiveTransportFailures = 0
             EndpointSignal.TRANSPORT_FAILURE, EndpointSignal.OTHER_VERSION -> {
@@ -190,8 +193,19 @@
         }
     }
 
-    /** Whether the endpoint did not respond to its agent at some time from [millis] on. */
-    fun wasUnresponsiveSince(millis: Long): Boolean = unresponsiveMillis >= millis
+    /** Records that nothing listens at the endpoint's address. */
+    fun onConnectionRefused(nowMillis: Long) {
+        connectionRefusedMillis = nowMillis
+    }
+
+    /** Whether the endpoint was down at about [lostMillis], by what its agent and entry observed. */
+    fun wasDownAt(lostMillis: Long): Boolean {
+        val isUnresponsive = unresponsiveMillis in
+            lostMillis - CRASH_SLACK_MILLIS..lostMillis + UNRESPONSIVE_DELAY_MILLIS
+        // An endpoint that refuses connections for lack of capacity still responds on others.
+        val isClosed = connectionRefusedMillis >= lostMillis && respondedMillis < lostMillis
+        return isUnresponsive || isClosed
+    }
 
     /** Records that a request got no response in time, or that it could not be sent. */
     fun onSlowPath(nowMillis: Long) {
@@ -231,6 +245,12 @@
         const val BACKOFF_SHIFT_MAX = 4
         const val OVERLOAD_BACKOFF_MILLIS = 60L
         const val SLOW_PATH_MILLIS = 8000L
+
+        // The agent may notice that its endpoint is down before the entry sees a reset.
+        const val CRASH_SLACK_MILLIS = 500L
+
+        // Reports of an agent are datagrams, some of which are lost.
+        const val UNRESPONSIVE_DELAY_MILLIS = 3000L
     }
 }
 
@@ -263,7 +283,7 @@
         return known == null ||
             known.isSuperseded ||
             known.record.startedAtMillis != attempt.endpoint.startedAtMillis ||
-            known.wasUnresponsiveSince(attempt.lostMillis - CRASH_SLACK_MILLIS)
+            known.wasDownAt(attempt.lostMillis)
     }
 
     /** All endpoints. */
@@ -352,8 +372,5 @@
 
         // Listings that expired during a store outage are renewed within about two seconds.
         const val UNLISTED_GRACE_MILLIS = 2000L
-
-        // The agent may notice that its endpoint is down before the entry sees a reset.
-        const val CRASH_SLACK_MILLIS = 500L
     }
 }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsTest.kt
@@ -9,6 +9,8 @@
 import org.toucanspur.schema.OrganisationId
 import org.toucanspur.schema.ServiceId
 
+private const val HEARTBEAT_MILLIS = 1200L
+
 private val popular = partFingerprint(writers, "popular")
 private val deadly = partFingerprint(writers, "deadly")
 private val other = partFingerprint(writers, "other")
@@ -116,7 +118,7 @@
         }
         describe("a lost attempt") {
             it("does not count unless its endpoint goes down within the confirmation time") {
-                val suspects = CrashSuspects()
+                val suspects = CrashSuspects(CrashSuspectLimits(confirmationMillis = 3000))
                 repeat(5) { suspects.onLost(attempt(it, 1000L + 200 * it)) }
                 suspects.confirm(1900) { false }.shouldBeEmpty()
                 suspects.confirm(6000) { true }.shouldBeEmpty()
@@ -164,6 +166,21 @@
                 suspects.isRefused(ledger, listOf(fingerprintOf("same")), 1300) shouldBe true
                 suspects.isRefused(ledger, listOf(fingerprintOf("next")), 1300) shouldBe false
             }
+            it("is refused at a service without agents when records expire late") {
+                val suspects = CrashSuspects()
+                val fleet = Fleet()
+                val own = listOf(fingerprintOf("same"))
+                repeat(5) { fleet.put(record("e$it", service = ledger), 0) }
+                repeat(3) {
+                    val sent = 1000L + 5000 * it
+                    suspects.onLost(attempt(it, sent, fingerprints = own))
+                    repeat(180) { tick -> suspects.confirm(sent + 20 * tick, fleet::hasCrashed) }
+                    fleet.remove(EndpointId("e$it"), sent + HEARTBEAT_MILLIS * 3 + 100)
+                    suspects.confirm(sent + HEARTBEAT_MILLIS * 3 + 120, fleet::hasCrashed)
+                    repeat(4) { suspects.onComplete(ledger, emptyList(), sent + 4500) }
+                }
+                suspects.isRefused(ledger, own, 16_000) shouldBe true
+            }
             it("has another fingerprint with another body, path or organisation") {
                 val own = fingerprintOf("a")
                 fingerprintOf("a") shouldBe own
@@ -173,6 +190,18 @@
             }
         }
         describe("an endpoint") {
+            it("has crashed if it refuses connections and has not responded since") {
+                val fleet = Fleet()
+                fleet.put(record("e1"), 0)
+                val known = checkNotNull(fleet.find(EndpointId("e1")))
+                val lost = attempt(1, sentMillis = 1000)
+                known.onConnectionRefused(1000)
+                fleet.hasCrashed(lost) shouldBe false
+                known.onConnectionRefused(1300)
+                fleet.hasCrashed(lost) shouldBe true
+                known.onSignal(EndpointSignal.OVERLOADED, 1310)
+                fleet.hasCrashed(lost) shouldBe false
+            }
             it("has crashed if its agent found it unresponsive or it runs again since") {
                 val fleet = Fleet()
                 fleet.put(record("e1"), 0)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -390,10 +390,16 @@
         delegate.onResponseComplete(this, status)
     }
 
-    override fun onFailure(exchange: EndpointExchange, wasSent: Boolean, reason: String) {
+    override fun onFailure(exchange: EndpointExchange, stage: FailureStage, reason: String) {
         if (exchange !== this.exchange) return
-        val outcome = if (wasSent) AttemptOutcome.MAY_HAVE_RUN else AttemptOutcome.UNREACHED
-        if (!wasSent) endpoint?.onSlowPath(monotonicMillis())
+        val now = monotonicMillis()
+        if (stage == FailureStage.REFUSED) endpoint?.onConnectionRefused(now)
+        if (stage != FailureStage.SENT) endpoint?.onSlowPath(now)
+        val outcome = if (stage == FailureStage.SENT) {
+            AttemptOutcome.MAY_HAVE_RUN
+        } else {
+            AttemptOutcome.UNREACHED
+        }
         failAttempt(EndpointSignal.TRANSPORT_FAILURE, outcome, reason)
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpContent
@@ -22,6 +23,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.daemon.net.addResponseDecoder
@@ -37,8 +39,20 @@
     /** Called when the response is complete. */
     fun onEnd(exchange: EndpointExchange)
 
-    /** Called when the exchange fails; unless [wasSent], the endpoint did not get the request. */
-    fun onFailure(exchange: EndpointExchange, wasSent: Boolean, reason: String)
+    /** Called when the exchange fails. */
+    fun onFailure(exchange: EndpointExchange, stage: FailureStage, reason: String)
+}
+
+/** How far an exchange came before it failed. */
+enum class FailureStage {
+    /** Nothing listens at the address. */
+    REFUSED,
+
+    /** No connection was established in time; the endpoint did not get the request. */
+    UNCONNECTED,
+
+    /** The endpoint may have received the request. */
+    SENT
 }
 
 /** A request as sent to an endpoint. */
@@ -52,6 +66,7 @@
 ) {
     private var channel: Channel? = null
     private var wasSent = false
+    private var isRefused = false
     private var isDone = false
     private var hasLength = false
     private var resetReason: String? = null
@@ -63,7 +78,14 @@
             it.pipeline().addLast(ResponseHandler())
         }
         channel = future.channel()
-        future.addListener { if (it.isSuccess) send() else fail("not connected: ${it.cause()}") }
+        future.addListener {
+            if (it.isSuccess) {
+                send()
+            } else {
+                isRefused = it.cause() is ConnectException && it.cause() !is ConnectTimeoutException
+                fail("not connected: ${it.cause()}")
+            }
+        }
     }
 
     /**
@@ -108,7 +130,12 @@
         if (isDone) return
         isDone = true
         channel?.close()
-        listener.onFailure(this, wasSent, reason)
+        val stage = when {
+            wasSent -> FailureStage.SENT
+            isRefused -> FailureStage.REFUSED
+            else -> FailureStage.UNCONNECTED
+        }
+        listener.onFailure(this, stage, reason)
     }
 
     private fun complete() {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -9,6 +9,7 @@
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.ConfigurationFreshness
+import org.toucanspur.core.gateway.CrashSuspectLimits
 import org.toucanspur.core.gateway.CrashSuspects
 import org.toucanspur.core.gateway.Fleet
 import org.toucanspur.core.gateway.RequestPlacer
@@ -32,6 +33,9 @@
 private const val ENTRY_COUNT_VALID_MILLIS = 3000L
 private const val MILLIS_PER_SECOND = 1000L
 
+// Records expire after three heartbeats without a renewal; the rest is for the watch of the store.
+private const val CONFIRMATION_HEARTBEATS = 5L
+
 /** Monotonic and wall clock of this VM. */
 val systemClocks = ClockPair { ClockReading(monotonicMillis(), wallMillis()) }
 
@@ -56,7 +60,11 @@
     val fleet = Fleet()
 
     /** Requests that crash endpoints. */
-    val crashSuspects = CrashSuspects()
+    val crashSuspects = CrashSuspects(
+        CrashSuspectLimits(
+            confirmationMillis = settings.store.heartbeatMillis * CONFIRMATION_HEARTBEATS
+        )
+    )
 
     /** Freshness of the configuration. */
     val freshness = ConfigurationFreshness(
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -46,7 +46,7 @@
 private fun settings() = NodeConfiguration(
     NodeSection(NodeRole.ENTRY, VmId("vm"), "127.0.0.1", ZoneId("z"), RegionId("r"), "z:r"),
     AddressesSection("127.0.0.1:0", "127.0.0.1:0", 1),
-    StoreSection("127.0.0.1:1"),
+    StoreSection("127.0.0.1:1", 1200),
     EngineSection("none", ServiceId("none")),
     LimitsSection(430, 4200, 1000.0),
     BoundsSection(2000, 8, 60_000, 5000, VERSION_BOUND_MILLIS, 0.2, 10, 100, 5, 120)
