Judge a request that crashes endpoints by the responses of all entries

At a small service a repeated request kept crashing endpoints although the crashes were known.

Cause: an entry refuses a request only if it has itself seen four other responses of the service since the first crash. Three endpoints that crash as soon as they are back give each of five entries next to none, and entries that have seen some do not judge, as the request does not arrive there.

Change: entries tell each other the times of the last responses of each service, along with the evidence, and count them together; evidence that only waits for responses is sent for as long as it waits. Meanwhile a whole request that has crashed three endpoints is held back: refused at once for 6 s after its last crash, then tried once by each entry. Prompt parts are not held back, as a popular one is on most requests of a service that is down.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
@@ -6,7 +6,7 @@
  * cleared only by a complete response, as an endpoint may crash within it. Crashes are
  * counted only one after the other: a crash counts if its request was sent after the last counted
  * crash, so that endpoints which fail together, such as those of one availability zone, count
- * once. Nothing is refused while the service makes no progress with other requests either.
+ * once. Nothing is refused for long while the service makes no progress with other requests either.
  *
  * Entries exchange what they have seen, since the requests arrive at any of them. Times in
  * exchanged evidence are ages, as clocks differ between VMs.
@@ -18,8 +18,10 @@
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.OrganisationId
 import org.toucanspur.schema.ServiceId
+import org.toucanspur.schema.ServiceResponses
 import org.toucanspur.schema.SuspectCrash
 import org.toucanspur.schema.SuspectEvidence
+import org.toucanspur.schema.VmId
 
 /** Identifies what several requests have in common: a prompt part or the whole request. */
 @JvmInline
@@ -78,6 +80,8 @@
      * the expiry of a record, which may be all that shows the crash of an endpoint without agent.
      */
     val confirmationMillis: Long = 6000,
+    /** Time after its last crash, or its last send by this entry, for which a request waits. */
+    val holdMillis: Long = 6000,
     /** Time after which crashes of a fingerprint that is not refused are forgotten. */
     val memoryMillis: Long = 60_000,
     /** Time for which a fingerprint is refused after the last request with it. */
@@ -95,13 +99,16 @@
         var crashes = emptyList<Crash>()
         var isRefused = false
         var seenMillis = Long.MIN_VALUE
+
+        /** Time at which this entry last sent the request since the first crash. */
+        var sentMillis = Long.MIN_VALUE
     }
 
     private val lostAttempts = ArrayDeque<LostAttempt>()
     private val suspects = recentlyUsed<Fingerprint, Suspect>(limits.suspectsMax)
     private val progressMillis = recentlyUsed<Fingerprint, Long>(limits.progressMax)
     private val clearedMillis = recentlyUsed<Fingerprint, Long>(CLEARED_MAX)
-    private val recentResponses = HashMap<ServiceId, ArrayDeque<Long>>()
+    private val responses = RecentResponses(limits.otherResponsesMin)
 
     /** Increases with each change that other entries should learn. */
     var revision = 0L
@@ -141,11 +148,18 @@
 
     /** Records that a response of [service] has progressed. */
     fun onResponse(service: ServiceId, nowMillis: Long) {
-        val responses = recentResponses.getOrPut(service) { ArrayDeque() }
-        responses.addLast(nowMillis)
-        if (responses.size > limits.otherResponsesMin) responses.removeFirst()
+        responses.add(service, nowMillis)
+        // The other entries may judge by this response.
+        if (suspects.values.any(::isPending)) revision++
     }
 
+    /** The responses that the other entries should learn, with [evidence]. */
+    fun responses(nowMillis: Long): List<ServiceResponses> = responses.report(nowMillis)
+
+    /** Applies the [reported] responses of the entry on [sender]. */
+    fun mergeResponses(sender: VmId, reported: List<ServiceResponses>, nowMillis: Long) =
+        responses.merge(sender, reported, nowMillis)
+
     /** Clears [fingerprints], with which a response shows that they do not crash endpoints. */
     fun clear(fingerprints: List<Fingerprint>, nowMillis: Long) = fingerprints.forEach {
         progressMillis[it] = nowMillis
@@ -163,6 +177,23 @@
         return refused.isNotEmpty()
     }
 
+    /**
+     * Whether a request as a whole waits for its verdict: it has crashed as many endpoints as a
+     * refusal needs, but the service has not responded to others since. One that crashes all
+     * endpoints of a small service as soon as they are back would prevent these responses.
+     */
+    fun isHeldBack(request: Fingerprint, nowMillis: Long): Boolean {
+        val suspect = suspects[request]?.takeUnless { isExpired(it, nowMillis) } ?: return false
+        val crashes = unexplainedCrashes(request, suspect)
+        if (crashes.size < limits.crashesMax) return false
+        return nowMillis - maxOf(crashes.last().lostMillis, suspect.sentMillis) < limits.holdMillis
+    }
+
+    /** Records that a request is sent; one that waits for its verdict waits again. */
+    fun onSend(request: Fingerprint, nowMillis: Long) {
+        suspects[request]?.sentMillis = nowMillis
+    }
+
     /** Returns the fingerprints that this entry has begun to refuse since the last call. */
     fun takeNewlyRefused(): List<Fingerprint> = newlyRefused.toList().also { newlyRefused.clear() }
 
@@ -177,16 +208,27 @@
     }
 
     private fun isGuilty(fingerprint: Fingerprint, suspect: Suspect, service: ServiceId): Boolean {
-        if (suspect.crashes.size < limits.crashesMax) return false
-        val others = suspects.entries.filter { outweighs(it.key, it.value, fingerprint, suspect) }
-        val explained = others.flatMap { other -> other.value.crashes.map { it.endpoint } }.toSet()
-        val counted = consecutive(suspect.crashes.filter { it.endpoint !in explained })
+        val counted = consecutive(unexplainedCrashes(fingerprint, suspect))
         if (counted.size < limits.crashesMax) return false
-        val responses = recentResponses[service] ?: return false
-        return responses.size >= limits.otherResponsesMin &&
-            responses.first() > counted.first().lostMillis
+        val others = responses.countSince(service, counted.first().lostMillis)
+        return others >= limits.otherResponsesMin
     }
 
+    // The crashes that no other fingerprint explains.
+    private fun unexplainedCrashes(fingerprint: Fingerprint, suspect: Suspect): List<Crash> {
+        if (suspect.crashes.size < limits.crashesMax) return emptyList()
+        val outweighing = suspects.entries.filter {
+            outweighs(it.key, it.value, fingerprint, suspect)
+        }
+        val explained = outweighing.flatMap { other -> other.value.crashes.map { it.endpoint } }
+            .toSet()
+        return suspect.crashes.filter { it.endpoint !in explained }
+    }
+
+    // Whether there are enough crashes for a refusal, which depends on other responses.
+    private fun isPending(suspect: Suspect): Boolean =
+        !suspect.isRefused && suspect.crashes.size >= limits.crashesMax
+
     // A crash counts only against the fingerprint that has most crashes, as the requests that it
     // takes with it are often the same ones, sent again.
     private fun outweighs(
@@ -236,7 +278,11 @@
             SuspectEvidence(fingerprint.value, nowMillis - at, isRefused = false, emptyList())
         }
         val crashes = suspects.entries
-            .filter { it.value.isRefused || nowMillis - it.value.seenMillis <= NEWS_MILLIS }
+            .filter { (_, suspect) ->
+                suspect.isRefused ||
+                    isPending(suspect) ||
+                    nowMillis - suspect.seenMillis <= NEWS_MILLIS
+            }
             .sortedWith(
                 compareBy(
                     { !it.value.isRefused },
@@ -312,7 +358,7 @@
     }
 }
 
-private fun <K, V> recentlyUsed(sizeMax: Int): MutableMap<K, V> =
+internal fun <K, V> recentlyUsed(sizeMax: Int): MutableMap<K, V> =
     object : LinkedHashMap<K, V>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<K, V>) = size > sizeMax
     }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsSimulationTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsSimulationTest.kt
@@ -7,7 +7,9 @@
 import java.util.PriorityQueue
 import kotlin.random.Random
 import org.toucanspur.schema.EndpointId
+import org.toucanspur.schema.ServiceResponses
 import org.toucanspur.schema.SuspectEvidence
+import org.toucanspur.schema.VmId
 
 private const val BEGIN_MILLIS = 90L
 private const val STREAM_MILLIS = 900L
@@ -25,6 +27,12 @@
     /** Period at which one endpoint crashes for another reason, 0 for never. */
     val otherCrashMillis: Long = 0,
     val entryRestartMillis: Long = 0,
+    /** Whether all deadly requests are one request, repeated unchanged. */
+    val isRepeated: Boolean = false,
+    /** Whether agents report crashes; without them only records and refused connections do. */
+    val hasAgents: Boolean = true,
+    /** Share of the requests that arrive at the first entry, besides its part of the rest. */
+    val firstEntryShare: Double = 0.0,
     val seed: Int = 1
 )
 
@@ -51,6 +59,8 @@
     private val tables = MutableList(scenario.entries) { CrashSuspects() }
     private val sentRevisions = LongArray(scenario.entries)
     private val upAtMillis = LongArray(scenario.endpoints)
+    private val expiredAtMillis = LongArray(scenario.endpoints)
+    private val refused = HashSet<Pair<Int, EndpointRun>>()
     private val runs = LongArray(scenario.endpoints) { 1 }
     private val running = List(scenario.endpoints) { ArrayList<Running>() }
     private val actions = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
@@ -77,6 +87,11 @@
         if (scenario.otherCrashMillis > 0) {
             every(scenario.otherCrashMillis.toDouble(), 0) { crashAny() }
         }
+        every(20.0, 0) {
+            tables.forEachIndexed { index, table ->
+                table.confirm(nowMillis) { isDown(index, it) }
+            }
+        }
         every(200.0, 0) { exchange(isNews = true) }
         every(1000.0, 0) { exchange(isNews = false) }
         if (scenario.entryRestartMillis > 0) {
@@ -104,27 +119,47 @@
         val middle = if (isDeadly) DEADLY else partFingerprint(writers, "m${random.nextInt(40)}")
         val first = partFingerprint(writers, "first${random.nextInt(2)}")
         val own = Fingerprint(random.nextLong())
-        val request = SimulatedRequest(random.nextInt(scenario.entries), listOf(first, middle, own))
+        val fingerprints =
+            if (isDeadly && scenario.isRepeated) listOf(DEADLY) else listOf(first, middle, own)
+        val request = SimulatedRequest(entry(), fingerprints)
         if (!isDeadly) soundRequests++
         send(request)
     }
 
+    private fun entry() = if (random.nextDouble() < scenario.firstEntryShare) {
+        0
+    } else {
+        random.nextInt(scenario.entries)
+    }
+
     private fun send(request: SimulatedRequest) {
-        if (tables[request.entry].isRefused(writers, request.fingerprints, nowMillis)) {
+        val table = tables[request.entry]
+        if (table.isRefused(writers, request.fingerprints, nowMillis) ||
+            table.isHeldBack(request.fingerprints.last(), nowMillis)
+        ) {
             if (!request.isDeadly) soundRefused++
             return
         }
         val up = upAtMillis.indices.filter { upAtMillis[it] <= nowMillis }
+        if (!scenario.hasAgents) tryDown(request.entry)
         if (up.isEmpty()) return
         val endpoint = up.random(random)
         val run = EndpointRun(EndpointId("e$endpoint"), runs[endpoint])
         val started = Running(request, endpoint, run, nowMillis)
         request.sends++
+        table.onSend(request.fingerprints.last(), nowMillis)
         if (request.isDeadly && isInTouch(request.entry)) deadlySends += nowMillis
         running[endpoint] += started
         at(nowMillis + BEGIN_MILLIS) { begin(started) }
     }
 
+    // A request is often sent first to an endpoint that is down, as that one appears to be idle.
+    private fun tryDown(entry: Int) {
+        val endpoint = random.nextInt(scenario.endpoints)
+        if (upAtMillis[endpoint] <= nowMillis) return
+        refused += entry to EndpointRun(EndpointId("e$endpoint"), runs[endpoint] - 1)
+    }
+
     private fun isInTouch(entry: Int): Boolean {
         val restartMillis = scenario.entryRestartMillis
         return entry != 0 || nowMillis !in restartMillis until restartMillis + STABILITY_MILLIS
@@ -158,6 +193,8 @@
 
     private fun crash(endpoint: Int) {
         upAtMillis[endpoint] = nowMillis + DOWN_MILLIS
+        expiredAtMillis[endpoint] = nowMillis +
+            if (scenario.hasAgents) random.nextLong(100, 400) else random.nextLong(3000, 3900)
         runs[endpoint]++
         val lost = running[endpoint].toList()
         running[endpoint].clear()
@@ -170,37 +207,46 @@
             tables[it.request.entry].onLost(attempt)
             if (it.request.sends < 2) send(it.request)
         }
-        at(nowMillis + random.nextLong(100, 400)) {
-            tables.forEach { it.confirm(nowMillis) { attempt -> isDown(attempt) } }
-        }
     }
 
-    private fun isDown(attempt: LostAttempt): Boolean {
+    private fun isDown(entry: Int, attempt: LostAttempt): Boolean {
+        if (entry to attempt.endpoint in refused) return true
         val endpoint = attempt.endpoint.id.value.drop(1).toInt()
-        return runs[endpoint] != attempt.endpoint.startedAtMillis
+        return runs[endpoint] != attempt.endpoint.startedAtMillis &&
+            expiredAtMillis[endpoint] <= nowMillis
     }
 
     private fun exchange(isNews: Boolean) = tables.forEachIndexed { index, table ->
         if (isNews && sentRevisions[index] == table.revision) return@forEachIndexed
         sentRevisions[index] = table.revision
         val evidence = table.evidence(nowMillis)
+        if (evidence.isEmpty()) return@forEachIndexed
+        val responses = table.responses(nowMillis)
         repeat(if (isNews) 3 else 2) {
-            if (random.nextDouble() >= scenario.datagramLoss) relay(index, evidence)
+            if (random.nextDouble() >= scenario.datagramLoss) relay(index, evidence, responses)
         }
     }
 
-    private fun relay(sender: Int, evidence: List<SuspectEvidence>) =
-        tables.indices.filter { it != sender }.forEach { receiver ->
-            if (random.nextDouble() >= scenario.datagramLoss) {
-                at(nowMillis + random.nextLong(2, 20)) {
-                    tables[receiver].merge(evidence, nowMillis)
-                }
+    private fun relay(
+        sender: Int,
+        evidence: List<SuspectEvidence>,
+        responses: List<ServiceResponses>
+    ) = tables.indices.filter { it != sender }.forEach { receiver ->
+        if (random.nextDouble() >= scenario.datagramLoss) {
+            at(nowMillis + random.nextLong(2, 20)) {
+                tables[receiver].merge(evidence, nowMillis)
+                tables[receiver].mergeResponses(VmId("$sender"), responses, nowMillis)
             }
         }
+    }
 
-    /** Requests with the part that were sent later than the stability window after crash five. */
+    /**
+     * Deadly requests that were sent later than the stability window after the crash by which they
+     * must be known: the third of a repeated request, the fifth of requests with a part.
+     */
     fun lateSends(): Int {
-        val bound = (deadlyCrashes.getOrNull(4) ?: return 0) + STABILITY_MILLIS
+        val known = if (scenario.isRepeated) 2 else 4
+        val bound = (deadlyCrashes.getOrNull(known) ?: return 0) + STABILITY_MILLIS
         return deadlySends.count { it > bound }
     }
 }
@@ -217,6 +263,38 @@
     }
 }
 
+private val repeatedScenarios = buildList {
+    for (seed in 1..10) {
+        for (deadlyPerSecond in listOf(0.5, 1.0, 3.0, 10.0)) {
+            add(Scenario(5, 11, 170, deadlyPerSecond, isRepeated = true, seed = seed))
+            add(
+                Scenario(
+                    5,
+                    3,
+                    21,
+                    deadlyPerSecond,
+                    0.1,
+                    isRepeated = true,
+                    hasAgents = false,
+                    seed = seed
+                )
+            )
+            add(
+                Scenario(
+                    4,
+                    3,
+                    12,
+                    deadlyPerSecond,
+                    0.1,
+                    isRepeated = true,
+                    hasAgents = false,
+                    seed = seed
+                )
+            )
+        }
+    }
+}
+
 class CrashSuspectsSimulationTest :
     DescribeSpec({
         describe("requests with a part that crashes endpoints") {
@@ -237,6 +315,26 @@
                 }
             }
         }
+        describe("a repeated request that crashes endpoints") {
+            it("stops reaching endpoints within the stability window after the third crash") {
+                repeatedScenarios.forAll {
+                    Simulation(it).run().lateSends() shouldBeLessThanOrEqual
+                        3
+                }
+            }
+            it("stops also if most requests arrive at one entry") {
+                repeatedScenarios.forAll {
+                    val uneven = Simulation(it.copy(firstEntryShare = 0.8)).run()
+                    uneven.lateSends() shouldBeLessThanOrEqual 3
+                }
+            }
+            it("does not take sound requests with it") {
+                repeatedScenarios.forAll {
+                    val simulation = Simulation(it).run()
+                    simulation.soundRefused shouldBeLessThanOrEqual simulation.soundRequests / 100
+                }
+            }
+        }
         describe("sound requests") {
             it("are not refused while endpoints crash for other reasons") {
                 (1..20).toList().forAll { seed ->
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsTest.kt
@@ -8,6 +8,7 @@
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.OrganisationId
 import org.toucanspur.schema.ServiceId
+import org.toucanspur.schema.VmId
 
 private const val HEARTBEAT_MILLIS = 1200L
 
@@ -181,6 +182,34 @@
                 }
                 suspects.isRefused(ledger, own, 16_000) shouldBe true
             }
+            it("waits while the service has responded to nothing else, and is tried again later") {
+                val suspects = CrashSuspects(CrashSuspectLimits(holdMillis = 6000))
+                val own = fingerprintOf("same")
+                repeat(3) { suspects.crash(attempt(it, 1000, 1100L + it, listOf(own))) }
+                suspects.isRefused(ledger, listOf(own), 2000) shouldBe false
+                suspects.isHeldBack(own, 2000) shouldBe true
+                suspects.isHeldBack(fingerprintOf("other"), 2000) shouldBe false
+                suspects.isHeldBack(own, 7200) shouldBe false
+                suspects.onSend(own, 7200)
+                suspects.isHeldBack(own, 7201) shouldBe true
+                suspects.onComplete(ledger, listOf(own), 7300)
+                suspects.isHeldBack(own, 7301) shouldBe false
+            }
+            it("is refused when only all entries together have seen other responses") {
+                val suspects = CrashSuspects()
+                val own = fingerprintOf("same")
+                repeat(3) {
+                    suspects.crash(attempt(it, 1000L + 100 * it, fingerprints = listOf(own)))
+                }
+                repeat(2) { entry ->
+                    val other = CrashSuspects()
+                    repeat(2) { other.onResponse(ledger, 1400) }
+                    repeat(3) {
+                        suspects.mergeResponses(VmId("vm$entry"), other.responses(1500), 1500)
+                    }
+                    suspects.isRefused(ledger, listOf(own), 1600) shouldBe (entry == 1)
+                }
+            }
             it("has another fingerprint with another body, path or organisation") {
                 val own = fingerprintOf("a")
                 fingerprintOf("a") shouldBe own
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -169,6 +169,7 @@
             refuse(call, it)
             return
         }
+        crashes.onSend(call, now)
         val endpoint = placement.endpoint
         val versionMin = versions.versionMin(call, now)
         val isResumed = call.isResumable && call.isCommitted
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CrashObserver.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CrashObserver.kt
@@ -48,6 +48,11 @@
     private fun fingerprints(call: Call): List<Fingerprint> =
         call.partFingerprints + call.ownFingerprint
 
+    /** Records that [call] is sent to an endpoint. */
+    fun onSend(call: Call, nowMillis: Long) {
+        if (suspects.size > 0) suspects.onSend(call.ownFingerprint, nowMillis)
+    }
+
     /** Counts the lost attempts whose endpoints have been found to be down. */
     fun confirm(nowMillis: Long) {
         suspects.confirm(nowMillis, state.fleet::hasCrashed).forEach { attempt ->
@@ -69,7 +74,9 @@
     /** The response to [call] if requests like it crash endpoints, or null. */
     fun refusal(call: Call, nowMillis: Long): Refusal? {
         if (suspects.size == 0) return null
-        if (!suspects.isRefused(call.service.id, fingerprints(call), nowMillis)) return null
+        val isRefused = suspects.isRefused(call.service.id, fingerprints(call), nowMillis) ||
+            suspects.isHeldBack(call.ownFingerprint, nowMillis)
+        if (!isRefused) return null
         metrics.crashSuspects.increment()
         return if (call.mayHaveExecuted) {
             Refusal(BAD_GATEWAY, REASON)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
@@ -52,10 +52,12 @@
     // datagrams get lost and an entry that starts knows nothing.
     private fun sendEvidence(agents: Int) {
         sentRevision = state.crashSuspects.revision
-        val evidence = state.crashSuspects.evidence(monotonicMillis())
+        val now = monotonicMillis()
+        val evidence = state.crashSuspects.evidence(now)
         if (evidence.isEmpty()) return
+        val responses = state.crashSuspects.responses(now)
         val encoded = evidence.chunked(DATAGRAM_EVIDENCE).map {
-            encodeFrame(CrashEvidence(state.settings.node.vm, it))
+            encodeFrame(CrashEvidence(state.settings.node.vm, it, responses))
         }
         agentHosts().shuffled(state.random).take(agents).forEach { host ->
             encoded.forEach { datagrams.sendEncoded(it, InetSocketAddress(host, peerPort)) }
@@ -65,11 +67,17 @@
     private fun onFrame(frame: Frame, sender: InetSocketAddress) {
         when (frame) {
             is LoadReport -> onReport(frame, sender)
-            is CrashEvidence -> state.crashSuspects.merge(frame.evidence, monotonicMillis())
+            is CrashEvidence -> onEvidence(frame)
             else -> Unit
         }
     }
 
+    private fun onEvidence(frame: CrashEvidence) {
+        val now = monotonicMillis()
+        state.crashSuspects.merge(frame.evidence, now)
+        state.crashSuspects.mergeResponses(frame.vm, frame.responses, now)
+    }
+
     private fun onReport(frame: LoadReport, sender: InetSocketAddress) {
         val now = monotonicMillis()
         val host = sender.address.hostAddress
