Do not state that a request was not executed when its retry finds the queue full

Callers of a request whose first endpoint broke off got 503, which promises that it has not run.

Cause: the entry answered 503 whenever a request could not be queued, also a retry after an attempt that may have run. Requests whose time in the queue expired got 502 already; both ways share the decision now.

Evidence: GatewayTest "is not reported as not executed when the queue has no room for its retry" got 503 before, 502 now.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -33,12 +33,13 @@
     private val state: GatewayState,
     override val codec: RequestCodec,
     private val log: DecisionLog,
-    private val metrics: GatewayMetrics
+    private val metrics: GatewayMetrics,
+    queueMax: Int = QUEUE_MAX
 ) : CallDelegate {
     private val admission = CallAdmission(state)
     private val versions = CallVersions(state, log, metrics)
     override val crashes = CrashObserver(state, log, metrics)
-    private val queue = CallQueue<Call>(QUEUE_MAX)
+    private val queue = CallQueue<Call>(queueMax)
     private val activeCalls = LinkedHashSet<Call>()
     private val maxRemainingMillis = HashMap<String, Long>()
 
@@ -118,12 +119,18 @@
         val isUnservable =
             isFirstAttempt && placement is Placement.Nowhere && !hasReadyEndpoint(call)
         if (isUnservable || !queue.add(call)) {
-            refuseUnplaced(call, placement)
+            failUnplaced(call, placement)
         } else {
             metrics.queued.increment()
         }
     }
 
+    private fun failUnplaced(call: Call, placement: Placement) = if (call.mayHaveExecuted) {
+        fail(call, "no endpoint for another send")
+    } else {
+        refuseUnplaced(call, placement)
+    }
+
     // A ready endpoint that cannot serve now may become available while the request is queued.
     private fun hasReadyEndpoint(call: Call): Boolean =
         state.fleet.of(call.service.id).any { it.record.isReady }
@@ -404,8 +411,7 @@
                 finalPlacement
             )
             call.isCommitted -> fail(call, "no endpoint to resume at")
-            call.mayHaveExecuted -> fail(call, "no endpoint for another send")
-            else -> refuseUnplaced(call, finalPlacement)
+            else -> failUnplaced(call, finalPlacement)
         }
     }
 
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -112,6 +112,12 @@
             }
         }
         describe("an idempotent request") {
+            it("is not reported as not executed when the queue has no room for its retry") {
+                val first = endpoint { _, _ -> }
+                val gateway = TestGateway(listOf(first.port), queueMax = 0)
+                gateway.call("/idempotent/") shouldContain "502"
+                first.received.size shouldBe 1
+            }
             it("receives a complete response from another endpoint when the first one breaks off") {
                 val first = endpoint { _, socket ->
                     socket.send("HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Le")
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -80,7 +80,8 @@
     isFresh: Boolean = true,
     isListed: Boolean = true,
     private val targetMillis: Long = CALL_SECONDS * 1000L,
-    private val bodyMaxBytes: Int = 1000
+    private val bodyMaxBytes: Int = 1000,
+    queueMax: Int = 256
 ) {
     private val loop = NettyEventLoop()
     private val registry = SimpleMeterRegistry()
@@ -101,7 +102,7 @@
             endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
         }
         val metrics = GatewayMetrics(registry)
-        val dispatcher = CallDispatcher(loop, state, TestRequestCodec, events.log, metrics)
+        val dispatcher = CallDispatcher(loop, state, TestRequestCodec, events.log, metrics, queueMax)
         val server = GatewayServer(loop, state, dispatcher, connectionsMax = 100)
         port = server.start(InetSocketAddress("127.0.0.1", 0)).port
     }
