Respect the limit that an endpoint names on its requests

Endpoints in need got three to four times as many requests as the limit in their responses.

Cause: no process read the limit. The class of fault is load that the sender decides alone although the receiver says what it takes.

Change: the platform adapter decodes the limit from any response, a refusal too; the entry keeps it for the run of the endpoint and lifts it when the endpoint names none any more. Each entry spaces its own sends to its share, the limit by the number of entries, from a random phase; entries that may send less often than every 4 s do so at their turn only. All sends pass the placement, so first sends, retries and resumed streams count alike. Requests go to other endpoints; if all are at their limit, they are refused at once with the time of the next share. E514 logs each change, and toucanspur.endpoints.limited counts the endpoints with a limit.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -60,5 +60,9 @@
     ENDPOINT_COLD(510, "endpoint became cold and its limit was lowered"),
     ENDPOINT_CRASHED(511, "endpoint crashed and the crash was counted against its requests"),
     ENDPOINT_DRAINING(512, "endpoint accepts no new requests"),
-    FINGERPRINT_REFUSED(513, "requests with a fingerprint are refused because they crash endpoints")
+    FINGERPRINT_REFUSED(
+        513,
+        "requests with a fingerprint are refused because they crash endpoints"
+    ),
+    ENDPOINT_LIMITED(514, "endpoint named, changed or lifted a limit on its requests")
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/EndpointRateLimit.kt
@@ -0,0 +1,89 @@
+/*
+ * One entry's share of the request rate that an endpoint in need takes from all entries together.
+ * Each entry spaces its own requests so that all of them stay within the rate without
+ * coordination. Entries start at random phases, as they learn of a limit at about the same time.
+ */
+package org.toucanspur.core.gateway
+
+import kotlin.math.ceil
+import kotlin.random.Random
+
+/** What a response says about the rate of requests that its endpoint takes. */
+sealed interface NamedLimit {
+    /** The endpoint takes [perSecond] requests a second from all entries together. */
+    data class Rate(val perSecond: Double) : NamedLimit
+
+    /** The endpoint names no limit. */
+    data object None : NamedLimit
+
+    /** The limit cannot be read, so that the one known before stays in force. */
+    data object Unreadable : NamedLimit
+}
+
+/** The limit that one run of an endpoint names. Not thread-safe. */
+class EndpointRateLimit(private val random: Random) {
+    /** Requests a second from all entries together; null without a limit. */
+    var perSecond: Double? = null
+        private set
+
+    private var sinceMillis = 0L
+    private var phase = 0.0
+    private var periodMillis = 0.0
+    private var nextMillis = 0.0
+
+    /** Applies [named], found in the response to a request sent at [sentMillis]. */
+    fun onNamed(named: NamedLimit, sentMillis: Long, nowMillis: Long) = when (named) {
+        is NamedLimit.Rate -> set(named.perSecond, nowMillis)
+        // A response that the endpoint began before it named the limit may arrive after it.
+        NamedLimit.None -> if (sentMillis >= sinceMillis) clear() else Unit
+        NamedLimit.Unreadable -> Unit
+    }
+
+    private fun set(changed: Double, nowMillis: Long) {
+        if (perSecond == null) {
+            sinceMillis = nowMillis
+            phase = random.nextDouble()
+            nextMillis = 0.0
+        }
+        perSecond = changed
+    }
+
+    /** Removes the limit. */
+    fun clear() {
+        perSecond = null
+    }
+
+    /** Time until one of [entryCount] entries may send its next request; 0 if it may send now. */
+    fun opensInMillis(entryCount: Int, nowMillis: Long): Long {
+        val rate = perSecond ?: return 0
+        periodMillis = MILLIS_PER_SECOND * maxOf(1, entryCount) / maxOf(rate, RATE_MIN)
+        val firstMillis = sinceMillis + phase * periodMillis
+        val earliestMillis = maxOf(nextMillis, firstMillis, nowMillis.toDouble())
+        return ceil(turnFrom(earliestMillis, firstMillis) - nowMillis).toLong()
+    }
+
+    // Entries that may send rarely do so only at their turn. Otherwise many idle ones would all
+    // send at once when the load rises.
+    private fun turnFrom(millis: Double, firstMillis: Double): Double {
+        if (periodMillis <= TURNS_FROM_MILLIS) return millis
+        val inPeriodMillis = (millis - firstMillis) % periodMillis
+        return if (inPeriodMillis < TURN_MILLIS) millis else millis + periodMillis - inPeriodMillis
+    }
+
+    /** Records that this entry sends a request. */
+    fun onSend(nowMillis: Long) {
+        if (perSecond == null) return
+        nextMillis = maxOf(nextMillis, (nowMillis - BURST_MILLIS).toDouble()) + periodMillis
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1000.0
+
+        // An endpoint that takes nothing gets a request now and then, as only its responses show
+        // that it has recovered.
+        const val RATE_MIN = 0.2
+        const val BURST_MILLIS = 250L
+        const val TURNS_FROM_MILLIS = 4000.0
+        const val TURN_MILLIS = 1000.0
+    }
+}
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -6,6 +6,7 @@
 package org.toucanspur.core.gateway
 
 import kotlin.math.exp
+import kotlin.random.Random
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.LoadReport
 import org.toucanspur.schema.ModelId
@@ -53,7 +54,11 @@
 }
 
 /** State of one endpoint. Counts cover this entry only, unless they come from a load report. */
-class FleetEndpoint(record: EndpointRecord, val firstSeenMillis: Long) {
+class FleetEndpoint(
+    record: EndpointRecord,
+    val firstSeenMillis: Long,
+    random: Random = Random.Default
+) {
     /** The latest endpoint record. */
     var record: EndpointRecord = record
         private set
@@ -67,6 +72,7 @@
     private var inFlightChangeSinceReport = 0
     private var allottedFreeSlots = 0
     private var coldUntilMillis = firstSeenMillis + record.coldRemainingMillis
+    private val rateLimit = EndpointRateLimit(random)
     private val recentAttempts = SlidingWindowCounter(COLD_WINDOW_MILLIS)
     private var failureScore = 0.0
     private var scoreUpdatedMillis = firstSeenMillis
@@ -90,6 +96,7 @@
         if (changed.startedAtMillis != record.startedAtMillis) {
             isAddressReused = false
             slowPathUntilMillis = 0
+            rateLimit.clear()
         }
         record = changed
     }
@@ -151,8 +158,20 @@
         ownInFlight++
         inFlightChangeSinceReport++
         recentAttempts.add(nowMillis)
+        rateLimit.onSend(nowMillis)
     }
 
+    /** Requests a second that the endpoint takes from all entries together; null for any. */
+    val limitPerSecond: Double? get() = rateLimit.perSecond
+
+    /** Applies the limit [named] in the response to a request sent at [sentMillis]. */
+    fun onNamedLimit(named: NamedLimit, sentMillis: Long, nowMillis: Long) =
+        rateLimit.onNamed(named, sentMillis, nowMillis)
+
+    /** Time until the limit lets one of [entryCount] entries send; 0 if it may send now. */
+    fun limitOpensInMillis(entryCount: Int, nowMillis: Long): Long =
+        rateLimit.opensInMillis(entryCount, nowMillis)
+
     /** Records that a request to the endpoint has ended. */
     fun onEnd() {
         ownInFlight--
@@ -264,7 +283,10 @@
 }
 
 /** All endpoints by id. */
-class Fleet(private val unlistedGraceMillis: Long = UNLISTED_GRACE_MILLIS) {
+class Fleet(
+    private val unlistedGraceMillis: Long = UNLISTED_GRACE_MILLIS,
+    private val random: Random = Random.Default
+) {
     private val endpoints = LinkedHashMap<EndpointId, FleetEndpoint>()
     private val byService = HashMap<ServiceId, MutableList<FleetEndpoint>>()
     private val unlistedSince = HashMap<EndpointId, Long>()
@@ -304,7 +326,7 @@
             return
         }
         if (known != null) drop(record.id, nowMillis)
-        val endpoint = recall(record, nowMillis) ?: FleetEndpoint(record, nowMillis)
+        val endpoint = recall(record, nowMillis) ?: FleetEndpoint(record, nowMillis, random)
         endpoints[record.id] = endpoint
         byService.getOrPut(record.service) { mutableListOf() } += endpoint
         markSuperseded(endpoint)
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -33,8 +33,11 @@
     /** Send to [endpoint], with the first byte predicted after [firstByteMillis]. */
     data class Send(val endpoint: FleetEndpoint, val firstByteMillis: Double) : Placement
 
-    /** All endpoints are busy; the earliest first byte is predicted after [firstByteMillis]. */
-    data class Busy(val firstByteMillis: Double) : Placement
+    /**
+     * All endpoints are busy; the earliest first byte is predicted after [firstByteMillis]. If all
+     * are at the limit that they name, the first one may get a request in [limitOpensInMillis].
+     */
+    data class Busy(val firstByteMillis: Double, val limitOpensInMillis: Long = 0) : Placement
 
     /** No endpoint may serve the request. */
     data object Nowhere : Placement
@@ -59,11 +62,15 @@
         var bestCost = Double.MAX_VALUE
         var bestFirstByteMillis = Double.MAX_VALUE
         var earliestMillis = Double.MAX_VALUE
+        var limitOpensInMillis = Long.MAX_VALUE
         for (endpoint in fleet.of(query.service.id)) {
             if (!isEligible(endpoint, query, nowMillis)) continue
             val predicted = firstByteMillis(endpoint, query, nowMillis, entryCount)
-            earliestMillis = minOf(earliestMillis, predicted)
-            if (predicted > budgetMillis ||
+            val opensInMillis = endpoint.limitOpensInMillis(entryCount, nowMillis)
+            earliestMillis = minOf(earliestMillis, predicted + opensInMillis)
+            limitOpensInMillis = minOf(limitOpensInMillis, opensInMillis)
+            if (opensInMillis > 0 ||
+                predicted > budgetMillis ||
                 !hasCapacity(endpoint, query, nowMillis, entryCount)
             ) {
                 continue
@@ -81,7 +88,7 @@
         return if (earliestMillis == Double.MAX_VALUE) {
             Placement.Nowhere
         } else {
-            Placement.Busy(earliestMillis)
+            Placement.Busy(earliestMillis, limitOpensInMillis)
         }
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -17,6 +17,7 @@
 import org.toucanspur.core.gateway.Fingerprint
 import org.toucanspur.core.gateway.FleetEndpoint
 import org.toucanspur.core.gateway.HeaderLine
+import org.toucanspur.core.gateway.NamedLimit
 import org.toucanspur.core.gateway.Organisation
 import org.toucanspur.core.gateway.QueuedCall
 import org.toucanspur.core.gateway.RequestCodec
@@ -39,6 +40,9 @@
     /** Called when an attempt ends with [outcome]; the call may be sent to another endpoint. */
     fun onAttemptFailed(call: Call, outcome: AttemptOutcome, reason: String)
 
+    /** Called when a response of [endpoint] states or omits a [limit] on the rate of requests. */
+    fun onNamedLimit(call: Call, endpoint: FleetEndpoint, limit: NamedLimit)
+
     /** Called when the response of an [endpoint] that ran the request begins. */
     fun onResponseBegun(call: Call, endpoint: FleetEndpoint)
 
@@ -246,6 +250,7 @@
         val lookup = { name: String -> response.headers().get(name) }
         val respondedId = delegate.codec.requestIdOf(lookup)
         weightVersion = delegate.codec.weightVersionOf(lookup)
+        if (respondedId == null || respondedId == id) applyLimit(status, lookup)
         when {
             respondedId != null && respondedId != id -> onBrokenResponse(
                 "answer to another request"
@@ -261,6 +266,15 @@
         }
     }
 
+    // A response lifts the limit only if it certainly comes from the endpoint.
+    private fun applyLimit(status: Int, lookup: (String) -> String?) {
+        val limit = delegate.codec.namedLimitOf(lookup)
+        val isOwn = status != MISDIRECTED &&
+            (delegate.codec.isSealed(lookup) || delegate.codec.isNotExecuted(status, lookup))
+        if (limit == NamedLimit.None && !isOwn) return
+        endpoint?.let { delegate.onNamedLimit(this, it, limit) }
+    }
+
     private fun acceptResponse(response: HttpResponse, status: Int) {
         endpoint?.let { delegate.onResponseBegun(this, it) }
         val observation =
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -14,6 +14,7 @@
 import org.toucanspur.core.gateway.EndpointRequestMetadata
 import org.toucanspur.core.gateway.EndpointSignal
 import org.toucanspur.core.gateway.FleetEndpoint
+import org.toucanspur.core.gateway.NamedLimit
 import org.toucanspur.core.gateway.Placement
 import org.toucanspur.core.gateway.PlacementQuery
 import org.toucanspur.core.gateway.RequestCodec
@@ -118,13 +119,21 @@
         call.untilMillis = now + minOf(waitMillis, remaining)
         val isUnservable =
             isFirstAttempt && placement is Placement.Nowhere && !hasReadyEndpoint(call)
-        if (isUnservable || !queue.add(call)) {
-            failUnplaced(call, placement)
-        } else {
-            metrics.queued.increment()
+        when {
+            isUnservable || mustExceedLimit(call, placement, now) -> failUnplaced(call, placement)
+            queue.add(call) -> metrics.queued.increment()
+            else -> failUnplaced(call, placement)
         }
     }
 
+    // Whether all endpoints are at the limit that they name and the next share is not for [call]. A
+    // resumed stream waits all the same, as its caller would lose it.
+    private fun mustExceedLimit(call: Call, placement: Placement, nowMillis: Long): Boolean {
+        val opensInMillis = (placement as? Placement.Busy)?.limitOpensInMillis ?: 0
+        if (opensInMillis == 0L || call.isCommitted) return false
+        return queue.size > 0 || nowMillis + opensInMillis > call.untilMillis
+    }
+
     private fun failUnplaced(call: Call, placement: Placement) = if (call.mayHaveExecuted) {
         fail(call, "no endpoint for another send")
     } else {
@@ -324,6 +333,19 @@
         refuse(call, refusal)
     }
 
+    override fun onNamedLimit(call: Call, endpoint: FleetEndpoint, limit: NamedLimit) {
+        if (call.endpointRun?.startedAtMillis != endpoint.record.startedAtMillis) return
+        val before = endpoint.limitPerSecond
+        endpoint.onNamedLimit(limit, call.sentMillis, monotonicMillis())
+        val after = endpoint.limitPerSecond
+        if (after == before) return
+        log.event(EventCode.ENDPOINT_LIMITED) {
+            put("endpoint", endpoint.record.id.value)
+            put("limitPerSecond", after)
+            put("limitPerSecondBefore", before)
+        }
+    }
+
     override fun onResponseBegun(call: Call, endpoint: FleetEndpoint) =
         versions.onResponseBegun(call, endpoint)
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -79,6 +79,9 @@
         registry.gauge("toucanspur.fingerprints.refused", state) {
             it.crashSuspects.refusedCount.toDouble()
         }
+        registry.gauge("toucanspur.endpoints.limited", state) { current ->
+            current.fleet.all().count { it.limitPerSecond != null }.toDouble()
+        }
         loop.scheduleRepeating(FRESHNESS_CHECK_MILLIS, ::checkFreshness)
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -57,7 +57,7 @@
             ObjectKind.WEIGHT_VERSIONS in listedKinds
 
     /** All known endpoints. */
-    val fleet = Fleet()
+    val fleet = Fleet(random = random)
 
     /** Requests that crash endpoints. */
     val crashSuspects = CrashSuspects(
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -102,7 +102,8 @@
             endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
         }
         val metrics = GatewayMetrics(registry)
-        val dispatcher = CallDispatcher(loop, state, TestRequestCodec, events.log, metrics, queueMax)
+        val dispatcher =
+            CallDispatcher(loop, state, TestRequestCodec, events.log, metrics, queueMax)
         val server = GatewayServer(loop, state, dispatcher, connectionsMax = 100)
         port = server.start(InetSocketAddress("127.0.0.1", 0)).port
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
@@ -3,6 +3,7 @@
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRequestMetadata
 import org.toucanspur.core.gateway.HeaderLine
+import org.toucanspur.core.gateway.NamedLimit
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.schema.ModelId
 import org.toucanspur.schema.RequestId
@@ -39,5 +40,10 @@
 
     override fun weightVersionOf(header: (String) -> String?) = header("Version")?.toLong()
 
+    override fun namedLimitOf(header: (String) -> String?): NamedLimit {
+        val text = header("Limit") ?: return NamedLimit.None
+        return text.toDoubleOrNull()?.let(NamedLimit::Rate) ?: NamedLimit.Unreadable
+    }
+
     override fun callerHeaders(id: RequestId) = listOf(HeaderLine("Id", id.value))
 }
