Send evidence of crashes only while it is news

Cause: each response made the evidence news again as long as any suspect had three crashes, and sound ones keep theirs for a minute when the crashes are explained by another fingerprint.

Change: a response is news until four of them follow the last crash of such a suspect; the responses go into one datagram of their own; a suspect of a single crash is news for 1 s in place of 3 s.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
@@ -148,12 +148,23 @@
 
     /** Records that a response of [service] has progressed. */
     fun onResponse(service: ServiceId, nowMillis: Long) {
+        val crashedMillis = lastPendingCrashMillis(nowMillis)
+        val isNews = crashedMillis != null &&
+            responses.ownCountSince(service, crashedMillis) < limits.otherResponsesMin
+        if (isNews) revision++
         responses.add(service, nowMillis)
-        // The other entries may judge by this response.
-        if (suspects.values.any(::isPending)) revision++
     }
 
-    /** The responses that the other entries should learn, with [evidence]. */
+    /** Whether the other entries should learn the [responses] of this one. */
+    fun needsResponses(nowMillis: Long): Boolean = lastPendingCrashMillis(nowMillis) != null
+
+    // The last crash of those suspects whose refusal depends on other responses.
+    private fun lastPendingCrashMillis(nowMillis: Long): Long? = suspects.values
+        .filter { !it.isRefused && it.crashes.size >= limits.crashesMax }
+        .maxOfOrNull { it.crashes.last().lostMillis }
+        ?.takeIf { nowMillis - it < PENDING_MILLIS }
+
+    /** The last responses of each service at this entry. */
     fun responses(nowMillis: Long): List<ServiceResponses> = responses.report(nowMillis)
 
     /** Applies the [reported] responses of the entry on [sender]. */
@@ -225,10 +236,6 @@
         return suspect.crashes.filter { it.endpoint !in explained }
     }
 
-    // Whether there are enough crashes for a refusal, which depends on other responses.
-    private fun isPending(suspect: Suspect): Boolean =
-        !suspect.isRefused && suspect.crashes.size >= limits.crashesMax
-
     // A crash counts only against the fingerprint that has most crashes, as the requests that it
     // takes with it are often the same ones, sent again.
     private fun outweighs(
@@ -278,10 +285,8 @@
             SuspectEvidence(fingerprint.value, nowMillis - at, isRefused = false, emptyList())
         }
         val crashes = suspects.entries
-            .filter { (_, suspect) ->
-                suspect.isRefused ||
-                    isPending(suspect) ||
-                    nowMillis - suspect.seenMillis <= NEWS_MILLIS
+            .filter {
+                it.value.isRefused || nowMillis - it.value.seenMillis <= newsMillis(it.value)
             }
             .sortedWith(
                 compareBy(
@@ -294,6 +299,10 @@
         return (cleared + crashes).take(EVIDENCE_MAX)
     }
 
+    // An endpoint that crashes makes all its requests suspects, most of which crash no other.
+    private fun newsMillis(suspect: Suspect): Long =
+        if (suspect.crashes.size == 1) SINGLE_CRASH_NEWS_MILLIS else NEWS_MILLIS
+
     private fun evidence(fingerprint: Fingerprint, suspect: Suspect, nowMillis: Long) =
         SuspectEvidence(
             fingerprint.value,
@@ -354,6 +363,10 @@
         const val CRASHES_KEPT = 12
         const val CLEARED_MAX = 16
         const val NEWS_MILLIS = 3000L
+        const val SINGLE_CRASH_NEWS_MILLIS = 1000L
+
+        // Endpoints are back a few seconds after a crash, and the service responds again.
+        const val PENDING_MILLIS = 10_000L
         const val EVIDENCE_MAX = 24
     }
 }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/RecentResponses.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/RecentResponses.kt
@@ -23,11 +23,15 @@
 
     /** Number of responses of [service] after [sinceMillis], as far as they are kept. */
     fun countSince(service: ServiceId, sinceMillis: Long): Int =
-        own[service].orEmpty().count { it > sinceMillis } +
+        ownCountSince(service, sinceMillis) +
             reported.values.sumOf { times ->
                 times[service].orEmpty().count { it > sinceMillis }
             }
 
+    /** Like [countSince], at this entry alone. */
+    fun ownCountSince(service: ServiceId, sinceMillis: Long): Int =
+        own[service].orEmpty().count { it > sinceMillis }
+
     /** The responses at this entry, as ages. */
     fun report(nowMillis: Long): List<ServiceResponses> = own.map { (service, times) ->
         ServiceResponses(service, times.map { nowMillis - it })
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsSimulationTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CrashSuspectsSimulationTest.kt
@@ -220,8 +220,8 @@
         if (isNews && sentRevisions[index] == table.revision) return@forEachIndexed
         sentRevisions[index] = table.revision
         val evidence = table.evidence(nowMillis)
-        if (evidence.isEmpty()) return@forEachIndexed
-        val responses = table.responses(nowMillis)
+        val responses =
+            if (table.needsResponses(nowMillis)) table.responses(nowMillis) else emptyList()
         repeat(if (isNews) 3 else 2) {
             if (random.nextDouble() >= scenario.datagramLoss) relay(index, evidence, responses)
         }
@@ -235,7 +235,9 @@
         if (random.nextDouble() >= scenario.datagramLoss) {
             at(nowMillis + random.nextLong(2, 20)) {
                 tables[receiver].merge(evidence, nowMillis)
-                tables[receiver].mergeResponses(VmId("$sender"), responses, nowMillis)
+                if (responses.isNotEmpty()) {
+                    tables[receiver].mergeResponses(VmId("$sender"), responses, nowMillis)
+                }
             }
         }
     }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
@@ -53,12 +53,15 @@
     private fun sendEvidence(agents: Int) {
         sentRevision = state.crashSuspects.revision
         val now = monotonicMillis()
-        val evidence = state.crashSuspects.evidence(now)
-        if (evidence.isEmpty()) return
-        val responses = state.crashSuspects.responses(now)
-        val encoded = evidence.chunked(DATAGRAM_EVIDENCE).map {
-            encodeFrame(CrashEvidence(state.settings.node.vm, it, responses))
+        val suspects = state.crashSuspects
+        val vm = state.settings.node.vm
+        val frames = suspects.evidence(now).chunked(DATAGRAM_EVIDENCE)
+            .map { CrashEvidence(vm, it) }
+            .toMutableList()
+        if (suspects.needsResponses(now)) {
+            frames += CrashEvidence(vm, emptyList(), suspects.responses(now))
         }
+        val encoded = frames.map(::encodeFrame)
         agentHosts().shuffled(state.random).take(agents).forEach { host ->
             encoded.forEach { datagrams.sendEncoded(it, InetSocketAddress(host, peerPort)) }
         }
@@ -75,7 +78,9 @@
     private fun onEvidence(frame: CrashEvidence) {
         val now = monotonicMillis()
         state.crashSuspects.merge(frame.evidence, now)
-        state.crashSuspects.mergeResponses(frame.vm, frame.responses, now)
+        if (frame.responses.isNotEmpty()) {
+            state.crashSuspects.mergeResponses(frame.vm, frame.responses, now)
+        }
     }
 
     private fun onReport(frame: LoadReport, sender: InetSocketAddress) {
