Tell all entries the limits that endpoints name

An entry that has just started, or that has not heard from an endpoint for a while, sent to it as if there was no limit, and a limit that was lifted stayed in force at the others until their next share.

Change: entries exchange the limits in datagrams that the agents relay, like the evidence of crashes: within 200 ms of a change, and once a second while there is a limit. The latest response counts, for the run of the endpoint that it is from.

Evidence: LimitExchangeTest; the cases "is known to an entry that starts" and "is lifted at all entries" have no equivalent before.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/EndpointRateLimit.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/EndpointRateLimit.kt
@@ -26,31 +26,53 @@
     var perSecond: Double? = null
         private set
 
+    /** Time of the response that shows whether there is a limit; null if none has come. */
+    var observedMillis: Long? = null
+        private set
+
     private var sinceMillis = 0L
+    private var liftedMillis: Long? = null
     private var phase = 0.0
     private var periodMillis = 0.0
     private var nextMillis = 0.0
 
     /** Applies [named], found in the response to a request sent at [sentMillis]. */
-    fun onNamed(named: NamedLimit, sentMillis: Long, nowMillis: Long) = when (named) {
-        is NamedLimit.Rate -> set(named.perSecond, nowMillis)
-        // A response that the endpoint began before it named the limit may arrive after it.
-        NamedLimit.None -> if (sentMillis >= sinceMillis) clear() else Unit
-        NamedLimit.Unreadable -> Unit
+    fun onNamed(named: NamedLimit, sentMillis: Long, nowMillis: Long) {
+        when (named) {
+            is NamedLimit.Rate -> apply(named.perSecond, nowMillis, nowMillis)
+            // A response that the endpoint began before it named the limit may arrive after it.
+            NamedLimit.None -> if (sentMillis >= sinceMillis) apply(null, nowMillis, nowMillis)
+            NamedLimit.Unreadable -> Unit
+        }
     }
 
-    private fun set(changed: Double, nowMillis: Long) {
-        if (perSecond == null) {
+    /** Applies the limit [reported] by another entry, which observed it at [atMillis]. */
+    fun onReported(reported: Double?, atMillis: Long, nowMillis: Long) {
+        val known = observedMillis
+        if (known == null || atMillis > known) apply(reported, atMillis, nowMillis)
+    }
+
+    private fun apply(changed: Double?, atMillis: Long, nowMillis: Long) {
+        observedMillis = atMillis
+        if (perSecond == null && changed != null) {
             sinceMillis = nowMillis
             phase = random.nextDouble()
             nextMillis = 0.0
         }
+        if (perSecond != null && changed == null) liftedMillis = nowMillis
         perSecond = changed
     }
 
-    /** Removes the limit. */
-    fun clear() {
+    /** Whether the limit has been lifted in the last seconds. */
+    fun isNewlyLifted(nowMillis: Long): Boolean =
+        perSecond == null && liftedMillis?.let { nowMillis - it < NEWS_MILLIS } ?: false
+
+    /** Forgets all, for a new run of the endpoint. */
+    fun reset() {
         perSecond = null
+        observedMillis = null
+        liftedMillis = null
+        sinceMillis = 0
     }
 
     /** Time until one of [entryCount] entries may send its next request; 0 if it may send now. */
@@ -83,6 +105,7 @@
         // that it has recovered.
         const val RATE_MIN = 0.2
         const val BURST_MILLIS = 250L
+        const val NEWS_MILLIS = 3000L
         const val TURNS_FROM_MILLIS = 4000.0
         const val TURN_MILLIS = 1000.0
     }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -8,6 +8,7 @@
 import kotlin.math.exp
 import kotlin.random.Random
 import org.toucanspur.schema.EndpointId
+import org.toucanspur.schema.EndpointLimit
 import org.toucanspur.schema.LoadReport
 import org.toucanspur.schema.ModelId
 import org.toucanspur.schema.RegionId
@@ -96,7 +97,7 @@
         if (changed.startedAtMillis != record.startedAtMillis) {
             isAddressReused = false
             slowPathUntilMillis = 0
-            rateLimit.clear()
+            rateLimit.reset()
         }
         record = changed
     }
@@ -168,6 +169,25 @@
     fun onNamedLimit(named: NamedLimit, sentMillis: Long, nowMillis: Long) =
         rateLimit.onNamed(named, sentMillis, nowMillis)
 
+    /** Applies the limit [reported] by another entry. */
+    fun onReportedLimit(reported: EndpointLimit, nowMillis: Long) = rateLimit.onReported(
+        (reported.milliPerSecond / MILLIS_PER_SECOND).takeIf { it >= 0 },
+        nowMillis - reported.ageMillis,
+        nowMillis
+    )
+
+    /** The limit as the other entries should learn it; null if there is nothing to learn. */
+    fun limit(nowMillis: Long): EndpointLimit? {
+        val perSecond = limitPerSecond
+        if (perSecond == null && !rateLimit.isNewlyLifted(nowMillis)) return null
+        return EndpointLimit(
+            record.id,
+            record.startedAtMillis,
+            perSecond?.let { (it * MILLIS_PER_SECOND).toLong() } ?: -1,
+            rateLimit.observedMillis?.let { nowMillis - it } ?: 0
+        )
+    }
+
     /** Time until the limit lets one of [entryCount] entries send; 0 if it may send now. */
     fun limitOpensInMillis(entryCount: Int, nowMillis: Long): Long =
         rateLimit.opensInMillis(entryCount, nowMillis)
@@ -250,6 +270,8 @@
             ?.let { maxOf(0, reportReceivedMillis + it - nowMillis) }
 
     private companion object {
+        const val MILLIS_PER_SECOND = 1000.0
+
         // Load reports are datagrams, so some may be lost.
         const val FRESH_REPORT_PERIODS = 4
         const val REPORT_FRESHNESS_MIN_MILLIS = 500L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -54,6 +54,7 @@
 import org.toucanspur.platform.decodeEndpoint
 import org.toucanspur.schema.CrashEvidence
 import org.toucanspur.schema.Frame
+import org.toucanspur.schema.LimitNotice
 import org.toucanspur.schema.LoadQuery
 import org.toucanspur.schema.ModelId
 import org.toucanspur.schema.NodeConfiguration
@@ -372,7 +373,7 @@
     private fun onFrame(frame: Frame, sender: InetSocketAddress) {
         when (frame) {
             is LoadQuery -> loadReporter.onQuery(sender)
-            is CrashEvidence -> loadReporter.relay(frame, sender)
+            is CrashEvidence, is LimitNotice -> loadReporter.relay(frame, sender)
             is PieceStatus -> onStatus(frame, sender)
             else -> Unit
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
@@ -10,7 +10,7 @@
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.Datagrams
 import org.toucanspur.daemon.transport.encodeFrame
-import org.toucanspur.schema.CrashEvidence
+import org.toucanspur.schema.Frame
 import org.toucanspur.schema.LoadReport
 import org.toucanspur.schema.ModelId
 import org.toucanspur.schema.VmId
@@ -30,9 +30,9 @@
         subscribers[entry] = monotonicMillis()
     }
 
-    /** Relays [evidence] of one entry to the others. */
-    fun relay(evidence: CrashEvidence, sender: InetSocketAddress) {
-        val encoded = encodeFrame(evidence)
+    /** Relays the [frame] of one entry to the others. */
+    fun relay(frame: Frame, sender: InetSocketAddress) {
+        val encoded = encodeFrame(frame)
         subscribers.keys.filter { it != sender }.forEach { datagrams.sendEncoded(encoded, it) }
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -12,6 +12,7 @@
 import org.toucanspur.core.gateway.CrashSuspectLimits
 import org.toucanspur.core.gateway.CrashSuspects
 import org.toucanspur.core.gateway.Fleet
+import org.toucanspur.core.gateway.LimitExchange
 import org.toucanspur.core.gateway.RequestPlacer
 import org.toucanspur.core.gateway.RetryBudgetLimits
 import org.toucanspur.core.gateway.RetryBudgetShare
@@ -59,6 +60,9 @@
     /** All known endpoints. */
     val fleet = Fleet(random = random)
 
+    /** Limits that endpoints name, known to all entries. */
+    val limits = LimitExchange(fleet)
+
     /** Requests that crash endpoints. */
     val crashSuspects = CrashSuspects(
         CrashSuspectLimits(
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
@@ -1,7 +1,8 @@
 /*
  * Subscribes to load reports from the agents of endpoints. A query subscribes for a few seconds, so
  * that agents need no list of entries and the subscription of a stopped entry expires. The agents
- * also relay evidence about requests that crash endpoints between the entries.
+ * also relay between the entries: evidence about requests that crash endpoints, and the limits that
+ * endpoints name.
  */
 package org.toucanspur.daemon.gateway
 
@@ -12,6 +13,7 @@
 import org.toucanspur.daemon.transport.encodeFrame
 import org.toucanspur.schema.CrashEvidence
 import org.toucanspur.schema.Frame
+import org.toucanspur.schema.LimitNotice
 import org.toucanspur.schema.LoadQuery
 import org.toucanspur.schema.LoadReport
 
@@ -33,9 +35,13 @@
 
     init {
         loop.scheduleRepeating(QUERY_MILLIS, ::sendQueries)
-        loop.scheduleRepeating(QUERY_MILLIS) { sendEvidence(REPEAT_AGENTS) }
+        loop.scheduleRepeating(QUERY_MILLIS) {
+            sendEvidence(REPEAT_AGENTS)
+            sendLimits(isRepeat = true)
+        }
         loop.scheduleRepeating(NEWS_MILLIS) {
             if (state.crashSuspects.revision != sentRevision) sendEvidence(NEWS_AGENTS)
+            sendLimits(isRepeat = false)
         }
     }
 
@@ -62,15 +68,29 @@
             frames += CrashEvidence(vm, emptyList(), suspects.responses(now))
         }
         val encoded = frames.map(::encodeFrame)
+        sendToAgents(encoded, agents)
+    }
+
+    private fun sendLimits(isRepeat: Boolean) {
+        val limits = state.limits.limits(monotonicMillis())
+        val isNews = state.limits.isNews(limits)
+        if (limits.isEmpty() || (!isNews && !isRepeat)) return
+        val encoded = limits.chunked(DATAGRAM_LIMITS).map {
+            encodeFrame(LimitNotice(state.settings.node.vm, it))
+        }
+        sendToAgents(encoded, if (isNews) NEWS_AGENTS else REPEAT_AGENTS)
+    }
+
+    private fun sendToAgents(encoded: List<ByteArray>, agents: Int) =
         agentHosts().shuffled(state.random).take(agents).forEach { host ->
             encoded.forEach { datagrams.sendEncoded(it, InetSocketAddress(host, peerPort)) }
         }
-    }
 
     private fun onFrame(frame: Frame, sender: InetSocketAddress) {
         when (frame) {
             is LoadReport -> onReport(frame, sender)
             is CrashEvidence -> onEvidence(frame)
+            is LimitNotice -> state.limits.merge(frame.limits, monotonicMillis())
             else -> Unit
         }
     }
@@ -108,7 +128,8 @@
         const val NEWS_AGENTS = 3
         const val REPEAT_AGENTS = 2
 
-        // Keeps a datagram within one packet.
+        // Keep a datagram within one packet.
         const val DATAGRAM_EVIDENCE = 2
+        const val DATAGRAM_LIMITS = 8
     }
 }
