Do not take a refusal without a request id for one of this request

Report of other operators: a faulty endpoint wrote an earlier refusal once more, and callers were told "not executed" for requests that ran.

Here every request has a connection of its own, and a refusal that names another request was no refusal of this one. But a refusal that names none was believed: an at-most-once request got 503, or was sent to a second endpoint, although the first one answered it next on the same connection.

Change: a refusal counts only if it names the request, provided that the request has an id. Otherwise the response is broken, and the request may have run.

Evidence: FaultyEndpointTest "does not state that a request was not executed" got 503 for the head without an id before, 502 now.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -250,12 +250,19 @@
         val lookup = { name: String -> response.headers().get(name) }
         val respondedId = delegate.codec.requestIdOf(lookup)
         weightVersion = delegate.codec.weightVersionOf(lookup)
-        if (respondedId == null || respondedId == id) applyLimit(status, lookup)
+        val isIdentified = respondedId == id || id.value.isEmpty()
+        if (isIdentified) applyLimit(status, lookup)
         when {
             respondedId != null && respondedId != id -> onBrokenResponse(
                 "answer to another request"
             )
-            delegate.codec.isNotExecuted(status, lookup) -> onNotExecuted(status)
+            delegate.codec.isNotExecuted(status, lookup) ->
+                // An endpoint may write an earlier refusal again, of which nothing but its id tells.
+                if (isIdentified) {
+                    onNotExecuted(status)
+                } else {
+                    onBrokenResponse("refusal without a request id")
+                }
             status in SUCCESS && !delegate.codec.isSealed(lookup) ->
                 onBrokenResponse("answer without a seal")
             isCommitted && status !in SUCCESS ->
