Continue a stream only with the rest of it

Report of other operators: a stream broke off, the next endpoint answered with something else, and callers found that in their stream, or the stream ended as if it were complete.

Cause: a resumed stream took any success for its rest. A 204 ended it as complete; the body of a 202 or 206, or of another media type, was added to it. An error status was not taken, also with a second head behind it.

Change: only a response with status 200 and the media type of the stream's first response continues it; any other one is a broken response.

Evidence: FaultyEndpointTest "a stream that has begun and broke off" failed for 204, 202, 206 and another type before; 404, 429, 500, 503 and two responses in a row passed.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -162,6 +162,7 @@
     private var eventSplitter: EventStreamSplitter? = null
     private var bufferedBody = ByteArrayOutputStream(0)
     private var isSealed = false
+    private var committedMediaType = ""
 
     /** Whether a stream may be resumed at another endpoint. */
     val isResumable: Boolean get() = route.kind == CallKind.STREAM && route.isResumable
@@ -265,14 +266,23 @@
                 }
             status in SUCCESS && !delegate.codec.isSealed(lookup) ->
                 onBrokenResponse("answer without a seal")
-            isCommitted && status !in SUCCESS ->
-                onBrokenResponse("status $status instead of a stream")
+            isCommitted && !continuesStream(response) ->
+                onBrokenResponse("status $status instead of the rest of the stream")
             status >= FIRST_SERVER_ERROR && route.isRepeatable && delegate.mayRetry(this) ->
                 onServerError(status)
             else -> acceptResponse(response, status)
         }
     }
 
+    private fun continuesStream(response: HttpResponse): Boolean =
+        response.status().code() == OK && mediaType(response) == committedMediaType
+
+    private fun mediaType(response: HttpResponse): String =
+        response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
+            .substringBefore(';')
+            .trim()
+            .lowercase()
+
     // A response lifts the limit only if it certainly comes from the endpoint.
     private fun applyLimit(status: Int, lookup: (String) -> String?) {
         val limit = delegate.codec.namedLimitOf(lookup)
@@ -379,6 +389,7 @@
         isCommitted = true
         firstByteMillis = monotonicMillis()
         val response = checkNotNull(responseHead)
+        committedMediaType = mediaType(response)
         connection.writeResponseHead(response.status().code(), relayedHeaders(response))
     }
 
