Move the limits of calls out of the dispatcher

CallLimits applies what responses say of limits and decides which requests are refused because all endpoints are at theirs. The specs of the gateway share the set of endpoints that they open and close. No change of behaviour.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
@@ -1,12 +1,13 @@
 /*
  * Finds the requests that crash endpoints and refuses them. The suspects of a crash are the
  * fingerprints of the requests that ran at the endpoint: one for each shared part of the prompt, if
- * the request was about to begin, and one for the request as a whole. A part with which any response has progressed
- * since is cleared, so that parts which are merely popular are not refused; a whole request is
- * cleared only by a complete response, as an endpoint may crash within it. Crashes are
- * counted only one after the other: a crash counts if its request was sent after the last counted
- * crash, so that endpoints which fail together, such as those of one availability zone, count
- * once. Nothing is refused for long while the service makes no progress with other requests either.
+ * the request was about to begin, and one for the request as a whole. A part with which any
+ * response has progressed since is cleared, so that parts which are merely popular are not refused;
+ * a whole request is cleared only by a complete response, as an endpoint may crash within it.
+ * Crashes are counted only one after the other: a crash counts if its request was sent after the
+ * last counted crash, so that endpoints which fail together, such as those of one availability
+ * zone, count once. Nothing is refused for good while the service makes no progress with other
+ * requests either; a whole request is only held back for a time.
  *
  * Entries exchange what they have seen, since the requests arrive at any of them. Times in
  * exchanged evidence are ages, as clocks differ between VMs.
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -237,7 +237,7 @@
         connectionRefusedMillis = nowMillis
     }
 
-    /** Whether the endpoint was down at about [lostMillis], by what its agent and entry observed. */
+    /** Whether the endpoint was down at about [lostMillis], as its agent or this entry observed. */
     fun wasDownAt(lostMillis: Long): Boolean {
         val isUnresponsive = unresponsiveMillis in
             lostMillis - CRASH_SLACK_MILLIS..lostMillis + UNRESPONSIVE_DELAY_MILLIS
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -258,7 +258,7 @@
                 "answer to another request"
             )
             delegate.codec.isNotExecuted(status, lookup) ->
-                // An endpoint may write an earlier refusal again, of which nothing but its id tells.
+                // An endpoint may write an earlier refusal again; only its id shows that.
                 if (isIdentified) {
                     onNotExecuted(status)
                 } else {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -39,6 +39,7 @@
 ) : CallDelegate {
     private val admission = CallAdmission(state)
     private val versions = CallVersions(state, log, metrics)
+    private val limits = CallLimits(log)
     override val crashes = CrashObserver(state, log, metrics)
     private val queue = CallQueue<Call>(queueMax)
     private val activeCalls = LinkedHashSet<Call>()
@@ -120,20 +121,13 @@
         val isUnservable =
             isFirstAttempt && placement is Placement.Nowhere && !hasReadyEndpoint(call)
         when {
-            isUnservable || mustExceedLimit(call, placement, now) -> failUnplaced(call, placement)
+            isUnservable || limits.mustRefuse(call, placement, queue.size, now) ->
+                failUnplaced(call, placement)
             queue.add(call) -> metrics.queued.increment()
             else -> failUnplaced(call, placement)
         }
     }
 
-    // Whether all endpoints are at the limit that they name and the next share is not for [call]. A
-    // resumed stream waits all the same, as its caller would lose it.
-    private fun mustExceedLimit(call: Call, placement: Placement, nowMillis: Long): Boolean {
-        val opensInMillis = (placement as? Placement.Busy)?.limitOpensInMillis ?: 0
-        if (opensInMillis == 0L || call.isCommitted) return false
-        return queue.size > 0 || nowMillis + opensInMillis > call.untilMillis
-    }
-
     private fun failUnplaced(call: Call, placement: Placement) = if (call.mayHaveExecuted) {
         fail(call, "no endpoint for another send")
     } else {
@@ -333,18 +327,8 @@
         refuse(call, refusal)
     }
 
-    override fun onNamedLimit(call: Call, endpoint: FleetEndpoint, limit: NamedLimit) {
-        if (call.endpointRun?.startedAtMillis != endpoint.record.startedAtMillis) return
-        val before = endpoint.limitPerSecond
-        endpoint.onNamedLimit(limit, call.sentMillis, monotonicMillis())
-        val after = endpoint.limitPerSecond
-        if (after == before) return
-        log.event(EventCode.ENDPOINT_LIMITED) {
-            put("endpoint", endpoint.record.id.value)
-            put("limitPerSecond", after)
-            put("limitPerSecondBefore", before)
-        }
-    }
+    override fun onNamedLimit(call: Call, endpoint: FleetEndpoint, limit: NamedLimit) =
+        limits.onNamedLimit(call, endpoint, limit)
 
     override fun onResponseBegun(call: Call, endpoint: FleetEndpoint) =
         versions.onResponseBegun(call, endpoint)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CrashingRequestTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CrashingRequestTest.kt
@@ -10,7 +10,7 @@
 
 private fun events(count: Int) = (1..count).map { "id: $it\ndata: token$it\n\n" }
 
-/** Endpoints that crash when they respond to the body [DEADLY], after writing a part by [respond]. */
+/** Endpoints that crash on requests with the body [DEADLY], after writing a part by [respond]. */
 private class CrashingEndpoints(respond: (ReceivedRequest, Socket) -> Unit) : AutoCloseable {
     /** Number of crashes. */
     val crashes = AtomicInteger()
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/EndlessResponseTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/EndlessResponseTest.kt
@@ -38,13 +38,9 @@
 
 class EndlessResponseTest :
     DescribeSpec({
-        val openEndpoints = mutableListOf<ScriptedEndpoint>()
-        afterTest {
-            openEndpoints.forEach { it.close() }
-            openEndpoints.clear()
-        }
-        fun endpoint(script: (ReceivedRequest, Socket) -> Unit) =
-            ScriptedEndpoint(script).also { openEndpoints += it }
+        val opened = ScriptedEndpoints()
+        afterTest { opened.closeAll() }
+        fun endpoint(script: (ReceivedRequest, Socket) -> Unit) = opened.open(script)
 
         fun callOne(
             path: String,
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/FaultyEndpointTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/FaultyEndpointTest.kt
@@ -15,13 +15,9 @@
 
 class FaultyEndpointTest :
     DescribeSpec({
-        val openEndpoints = mutableListOf<ScriptedEndpoint>()
-        afterTest {
-            openEndpoints.forEach { it.close() }
-            openEndpoints.clear()
-        }
-        fun endpoint(script: (ReceivedRequest, Socket) -> Unit) =
-            ScriptedEndpoint(script).also { openEndpoints += it }
+        val opened = ScriptedEndpoints()
+        afterTest { opened.closeAll() }
+        fun endpoint(script: (ReceivedRequest, Socket) -> Unit) = opened.open(script)
 
         describe("an earlier refusal that is written again") {
             fun refuseAgain(id: String): (ReceivedRequest, Socket) -> Unit = { request, socket ->
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -31,13 +31,9 @@
 
 class GatewayTest :
     DescribeSpec({
-        val openEndpoints = mutableListOf<ScriptedEndpoint>()
-        afterTest {
-            openEndpoints.forEach { it.close() }
-            openEndpoints.clear()
-        }
-        fun endpoint(script: (ReceivedRequest, Socket) -> Unit) =
-            ScriptedEndpoint(script).also { openEndpoints += it }
+        val opened = ScriptedEndpoints()
+        afterTest { opened.closeAll() }
+        fun endpoint(script: (ReceivedRequest, Socket) -> Unit) = opened.open(script)
 
         fun closedPort() = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use {
             it.localPort
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ScriptedEndpoint.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ScriptedEndpoint.kt
@@ -54,6 +54,21 @@
     override fun close() = listener.close()
 }
 
+/** Opens endpoints and closes them together. */
+class ScriptedEndpoints {
+    private val open = mutableListOf<ScriptedEndpoint>()
+
+    /** Opens an endpoint that runs [script] for the request of each connection. */
+    fun open(script: (ReceivedRequest, Socket) -> Unit): ScriptedEndpoint =
+        ScriptedEndpoint(script).also { open += it }
+
+    /** Closes the open endpoints. */
+    fun closeAll() {
+        open.forEach { it.close() }
+        open.clear()
+    }
+}
+
 /** Reads until the peer closes or resets the connection. */
 fun Socket.awaitClose() {
     try {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/UndelimitedResponseTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/UndelimitedResponseTest.kt
@@ -37,13 +37,9 @@
 
 class UndelimitedResponseTest :
     DescribeSpec({
-        val openEndpoints = mutableListOf<ScriptedEndpoint>()
-        afterTest {
-            openEndpoints.forEach { it.close() }
-            openEndpoints.clear()
-        }
-        fun endpoint(script: (ReceivedRequest, Socket) -> Unit) =
-            ScriptedEndpoint(script).also { openEndpoints += it }
+        val opened = ScriptedEndpoints()
+        afterTest { opened.closeAll() }
+        fun endpoint(script: (ReceivedRequest, Socket) -> Unit) = opened.open(script)
 
         fun callOne(path: String, script: (ReceivedRequest, Socket) -> Unit) =
             TestGateway(listOf(endpoint(script).port)).call(path)
