Test what entries learn from each other through an agent

Two entries and a relaying agent on loopback addresses: a limit reaches the other entry and is lifted there, and a part that crashed endpoints at one entry is refused by both for the responses that only the other one has seen.

--- /dev/null
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/LoadSubscriberTest.kt
@@ -0,0 +1,159 @@
+package org.toucanspur.daemon.gateway
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import java.net.DatagramSocket
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+import org.toucanspur.core.gateway.CallerLimits
+import org.toucanspur.core.gateway.EndpointRecord
+import org.toucanspur.core.gateway.EndpointRun
+import org.toucanspur.core.gateway.EngineTiming
+import org.toucanspur.core.gateway.LostAttempt
+import org.toucanspur.core.gateway.NamedLimit
+import org.toucanspur.core.gateway.TrafficConfiguration
+import org.toucanspur.core.gateway.TrafficService
+import org.toucanspur.core.gateway.partFingerprint
+import org.toucanspur.daemon.engine.LoadReporter
+import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.daemon.net.Datagrams
+import org.toucanspur.daemon.net.NettyEventLoop
+import org.toucanspur.schema.AddressesSection
+import org.toucanspur.schema.BoundsSection
+import org.toucanspur.schema.EndpointId
+import org.toucanspur.schema.EngineSection
+import org.toucanspur.schema.Frame
+import org.toucanspur.schema.LimitsSection
+import org.toucanspur.schema.LoadQuery
+import org.toucanspur.schema.NodeConfiguration
+import org.toucanspur.schema.NodeRole
+import org.toucanspur.schema.NodeSection
+import org.toucanspur.schema.RegionId
+import org.toucanspur.schema.ServiceId
+import org.toucanspur.schema.StoreSection
+import org.toucanspur.schema.VmId
+import org.toucanspur.schema.ZoneId
+
+private const val AGENT_HOST = "127.0.0.3"
+private val service = ServiceId("engine")
+private val endpointId = EndpointId("e")
+private val patience = 20.seconds
+
+private fun freePort(): Int =
+    DatagramSocket(0, InetAddress.getByName(AGENT_HOST)).use { it.localPort }
+
+/** An agent that does nothing but relay between the entries that query it. */
+private class RelayingAgent(port: Int) {
+    private val datagrams: Datagrams =
+        Datagrams(NettyEventLoop(), InetSocketAddress(AGENT_HOST, port), ::onFrame)
+    private val reporter = LoadReporter(VmId(AGENT_HOST), datagrams)
+
+    private fun onFrame(frame: Frame, sender: InetSocketAddress) =
+        if (frame is LoadQuery) reporter.onQuery(sender) else reporter.relay(frame, sender)
+}
+
+/** State and subscriber of an entry on [host]. */
+private class SubscribedEntry(host: String, port: Int) {
+    private val loop = NettyEventLoop()
+    private val state = GatewayState(settings(host, port), Random(1))
+
+    init {
+        onLoop {
+            state.configuration = configuration()
+            state.fleet.put(record(port), 0)
+        }
+        LoadSubscriber(loop, state) {}
+    }
+
+    fun <T> onLoop(action: GatewayState.() -> T): T =
+        loop.executor.submit<T> { state.action() }.get()
+
+    /** Reads the limit of the endpoint. */
+    fun limitPerSecond(): Double? = onLoop { fleet.find(endpointId)?.limitPerSecond }
+
+    private fun settings(host: String, port: Int) = NodeConfiguration(
+        NodeSection(NodeRole.ENTRY, VmId(host), host, ZoneId("z"), RegionId("r"), "z:r"),
+        AddressesSection("$host:0", "$host:0", port),
+        StoreSection("127.0.0.1:1", 1200),
+        EngineSection("none", ServiceId("none")),
+        LimitsSection(430, 4200, 1000.0),
+        BoundsSection(2000, 8, 60_000, 5000, 8000, 0.2, 10, 100, 5, 120)
+    )
+
+    private fun configuration() = TrafficConfiguration(
+        1,
+        emptyList(),
+        mapOf(
+            service to TrafficService(
+                service,
+                "/health",
+                100,
+                0.0,
+                EngineTiming(8, 1.0, 0.1, 0.0, 30_000.0, 6, 100, 50, 100_000),
+                emptyList(),
+                null
+            )
+        ),
+        CallerLimits(16_384, 1000, 3000, 15_000),
+        emptyList()
+    )
+
+    private fun record(port: Int) = EndpointRecord(
+        endpointId,
+        service,
+        AGENT_HOST,
+        port,
+        ZoneId("z"),
+        RegionId("r"),
+        slots = 8,
+        isReady = true,
+        coldRemainingMillis = 0,
+        loadedVersions = emptyMap(),
+        startedAtMillis = 5
+    )
+}
+
+class LoadSubscriberTest :
+    DescribeSpec({
+        describe("two entries that query the same agent") {
+            val port = freePort()
+            RelayingAgent(port)
+            val first = SubscribedEntry("127.0.0.1", port)
+            val second = SubscribedEntry("127.0.0.2", port)
+
+            fun SubscribedEntry.name(limit: NamedLimit) = onLoop {
+                val now = monotonicMillis()
+                fleet.find(endpointId)?.onNamedLimit(limit, now, now)
+            }
+            it("learn from each other that an endpoint names a limit, and that it is lifted") {
+                first.name(NamedLimit.Rate(2.5))
+                eventually(patience) { second.limitPerSecond() shouldBe 2.5 }
+                second.name(NamedLimit.None)
+                eventually(patience) { first.limitPerSecond() shouldBe null }
+            }
+            it("count the responses that each of them has seen after crashes") {
+                val part = listOf(partFingerprint(service, "deadly"))
+                first.onLoop {
+                    val start = monotonicMillis()
+                    repeat(3) { crash ->
+                        val run = EndpointRun(EndpointId("crashed$crash"), 1)
+                        val sentMillis = start - 50 + 10 * crash
+                        crashSuspects.onLost(LostAttempt(run, part, sentMillis, sentMillis + 10))
+                    }
+                    crashSuspects.confirm(start) { true }.size shouldBe 3
+                    crashSuspects.isRefused(service, part, start) shouldBe false
+                }
+                second.onLoop { repeat(4) { crashSuspects.onResponse(service, monotonicMillis()) } }
+                listOf(first, second).forEach { entry ->
+                    eventually(patience) {
+                        entry.onLoop {
+                            crashSuspects.isRefused(service, part, monotonicMillis())
+                        } shouldBe true
+                    }
+                }
+            }
+        }
+    })
