Test that endpoints with a limit are used under overload

Three of six engines name a limit in the simulation of an overload: they get between 0.8 and 1.1 of it, and the others stay at 85 % of their slots.

--- a/core/src/test/kotlin/org/toucanspur/core/gateway/OverloadSimulationTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/OverloadSimulationTest.kt
@@ -1,6 +1,7 @@
 package org.toucanspur.core.gateway
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.inspectors.forAll
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeGreaterThan
@@ -19,6 +20,7 @@
 private const val TARGET_MILLIS = 400L
 private const val FIRST_EVENT_DELAY_MILLIS = 120L
 private const val MEAN_DURATION_MILLIS = 1300.0
+private const val LIMIT_PER_SECOND = 2.2
 
 /** Engine with a fixed number of slots and a queue of requests that wait for one. */
 private class SlotEngine(private val slots: Int) {
@@ -49,11 +51,14 @@
     override val isOnTime: Boolean = true
 ) : QueuedCall
 
-/** Simulates four entries that send more requests to six engines than these can process. */
-private class OverloadSimulation(seed: Int) {
+/**
+ * Simulates four entries that send more requests to six engines than these can process. The first
+ * [limitedCount] engines name [LIMIT_PER_SECOND].
+ */
+private class OverloadSimulation(seed: Int, private val limitedCount: Int = 0) {
     private val random = Random(seed)
     private val engines = List(ENGINES) { SlotEngine(engine.slots) }
-    private val fleets = List(ENTRIES) { Fleet() }
+    private val fleets = List(ENTRIES) { Fleet(random = Random(seed + it)) }
     private val placers = fleets.mapIndexed { index, fleet ->
         RequestPlacer(fleet, ZoneId("a"), RegionId("r"), 0, Random(seed + index))
     }
@@ -63,12 +68,17 @@
     var onTime = 0
     var sent = 0
     var refused = 0
+    val sentTo = IntArray(ENGINES)
 
     val utilisation: Double get() = busyMillis / (RUN_MILLIS * ENGINES * engine.slots)
 
     fun run() {
         fleets.forEach { fleet ->
             repeat(ENGINES) { fleet.put(record("e$it").copy(host = "10.0.0.$it"), 0) }
+            repeat(limitedCount) {
+                fleet.find(EndpointId("e$it"))
+                    ?.onNamedLimit(NamedLimit.Rate(LIMIT_PER_SECOND), 0, 0)
+            }
         }
         scheduleArrival(0)
         schedule(0) { report(it, 1) }
@@ -100,7 +110,9 @@
         val choice = placers[entry].place(query, budget, now, ENTRIES)
         if (choice !is Placement.Send) return false
         val endpoint = choice.endpoint
-        val target = engines[endpoint.record.id.value.drop(1).toInt()]
+        val index = endpoint.record.id.value.drop(1).toInt()
+        val target = engines[index]
+        sentTo[index]++
         endpoint.onAttempt(now)
         sent++
         target.submit(now) { startedMillis -> begin(entry, endpoint, target, call, startedMillis) }
@@ -159,4 +171,22 @@
                 }
             }
         }
+        describe("engines that name a limit under overload") {
+            for (seed in 1..5) {
+                val simulation = OverloadSimulation(seed, limitedCount = 3).apply { run() }
+                val limited = LIMIT_PER_SECOND * RUN_MILLIS / 1000
+                it("get most of it and no more (seed $seed)") {
+                    simulation.sentTo.take(3).forAll {
+                        it.toDouble() shouldBeGreaterThan limited * 0.8
+                        it.toDouble() shouldBeLessThan limited * 1.1
+                    }
+                }
+                it("leave the other engines as busy as before (seed $seed)") {
+                    val capacity = engine.slots * RUN_MILLIS / MEAN_DURATION_MILLIS
+                    simulation.sentTo.drop(3).forAll {
+                        it.toDouble() shouldBeGreaterThan capacity * 0.85
+                    }
+                }
+            }
+        }
     })
