Share the fixtures of the specs of the gateway; plain terms in comments

LoadSubscriberTest uses the settings, the engine and the endpoint record of TestGateway. No change of behaviour.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
@@ -81,7 +81,7 @@
      * the expiry of a record, which may be all that shows the crash of an endpoint without agent.
      */
     val confirmationMillis: Long = 6000,
-    /** Time after its last crash, or its last send by this entry, for which a request waits. */
+    /** Time after its last crash or its last send for which a request is held back. */
     val holdMillis: Long = 6000,
     /** Time after which crashes of a fingerprint that is not refused are forgotten. */
     val memoryMillis: Long = 60_000,
@@ -190,9 +190,9 @@
     }
 
     /**
-     * Whether a request as a whole waits for its verdict: it has crashed as many endpoints as a
-     * refusal needs, but the service has not responded to others since. One that crashes all
-     * endpoints of a small service as soon as they are back would prevent these responses.
+     * Whether a request as a whole is held back: it has crashed as many endpoints as a refusal
+     * needs, but the service has not responded to others since. One that crashes all endpoints of a
+     * small service as soon as they are back would prevent these responses.
      */
     fun isHeldBack(request: Fingerprint, nowMillis: Long): Boolean {
         val suspect = suspects[request]?.takeUnless { isExpired(it, nowMillis) } ?: return false
@@ -201,7 +201,7 @@
         return nowMillis - maxOf(crashes.last().lostMillis, suspect.sentMillis) < limits.holdMillis
     }
 
-    /** Records that a request is sent; one that waits for its verdict waits again. */
+    /** Records that a request is sent; one that was held back before is held back again. */
     fun onSend(request: Fingerprint, nowMillis: Long) {
         suspects[request]?.sentMillis = nowMillis
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/LoadSubscriberTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/LoadSubscriberTest.kt
@@ -9,9 +9,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 import org.toucanspur.core.gateway.CallerLimits
-import org.toucanspur.core.gateway.EndpointRecord
 import org.toucanspur.core.gateway.EndpointRun
-import org.toucanspur.core.gateway.EngineTiming
 import org.toucanspur.core.gateway.LostAttempt
 import org.toucanspur.core.gateway.NamedLimit
 import org.toucanspur.core.gateway.TrafficConfiguration
@@ -21,21 +19,11 @@
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.Datagrams
 import org.toucanspur.daemon.net.NettyEventLoop
-import org.toucanspur.schema.AddressesSection
-import org.toucanspur.schema.BoundsSection
 import org.toucanspur.schema.EndpointId
-import org.toucanspur.schema.EngineSection
 import org.toucanspur.schema.Frame
-import org.toucanspur.schema.LimitsSection
 import org.toucanspur.schema.LoadQuery
-import org.toucanspur.schema.NodeConfiguration
-import org.toucanspur.schema.NodeRole
-import org.toucanspur.schema.NodeSection
-import org.toucanspur.schema.RegionId
 import org.toucanspur.schema.ServiceId
-import org.toucanspur.schema.StoreSection
 import org.toucanspur.schema.VmId
-import org.toucanspur.schema.ZoneId
 
 private const val AGENT_HOST = "127.0.0.3"
 private val service = ServiceId("engine")
@@ -58,12 +46,12 @@
 /** State and subscriber of an entry on [host]. */
 private class SubscribedEntry(host: String, port: Int) {
     private val loop = NettyEventLoop()
-    private val state = GatewayState(settings(host, port), Random(1))
+    private val state = GatewayState(entrySettings(host, port), Random(1))
 
     init {
         onLoop {
             state.configuration = configuration()
-            state.fleet.put(record(port), 0)
+            state.fleet.put(endpointRecord(endpointId.value, service, AGENT_HOST, port), 0)
         }
         LoadSubscriber(loop, state) {}
     }
@@ -74,15 +62,6 @@
     /** Reads the limit of the endpoint. */
     fun limitPerSecond(): Double? = onLoop { fleet.find(endpointId)?.limitPerSecond }
 
-    private fun settings(host: String, port: Int) = NodeConfiguration(
-        NodeSection(NodeRole.ENTRY, VmId(host), host, ZoneId("z"), RegionId("r"), "z:r"),
-        AddressesSection("$host:0", "$host:0", port),
-        StoreSection("127.0.0.1:1", 1200),
-        EngineSection("none", ServiceId("none")),
-        LimitsSection(430, 4200, 1000.0),
-        BoundsSection(2000, 8, 60_000, 5000, 8000, 0.2, 10, 100, 5, 120)
-    )
-
     private fun configuration() = TrafficConfiguration(
         1,
         emptyList(),
@@ -92,7 +71,7 @@
                 "/health",
                 100,
                 0.0,
-                EngineTiming(8, 1.0, 0.1, 0.0, 30_000.0, 6, 100, 50, 100_000),
+                testEngine,
                 emptyList(),
                 null
             )
@@ -100,20 +79,6 @@
         CallerLimits(16_384, 1000, 3000, 15_000),
         emptyList()
     )
-
-    private fun record(port: Int) = EndpointRecord(
-        endpointId,
-        service,
-        AGENT_HOST,
-        port,
-        ZoneId("z"),
-        RegionId("r"),
-        slots = 8,
-        isReady = true,
-        coldRemainingMillis = 0,
-        loadedVersions = emptyMap(),
-        startedAtMillis = 5
-    )
 }
 
 class LoadSubscriberTest :
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -41,11 +41,14 @@
 private val service = ServiceId("s")
 private val engineService = ServiceId("engine")
 private val model = ModelId("m")
-private val engine = EngineTiming(8, 1.0, 0.1, 0.0, 30_000.0, 6, 100, 50, 100_000)
 
-private fun settings() = NodeConfiguration(
-    NodeSection(NodeRole.ENTRY, VmId("vm"), "127.0.0.1", ZoneId("z"), RegionId("r"), "z:r"),
-    AddressesSection("127.0.0.1:0", "127.0.0.1:0", 1),
+/** Timing of the engines of tests. */
+val testEngine = EngineTiming(8, 1.0, 0.1, 0.0, 30_000.0, 6, 100, 50, 100_000)
+
+/** Settings of an entry on [host] that exchanges datagrams on [peerPort]. */
+fun entrySettings(host: String = "127.0.0.1", peerPort: Int = 1) = NodeConfiguration(
+    NodeSection(NodeRole.ENTRY, VmId("vm-$host"), host, ZoneId("z"), RegionId("r"), "z:r"),
+    AddressesSection("$host:0", "$host:0", peerPort),
     StoreSection("127.0.0.1:1", 1200),
     EngineSection("none", ServiceId("none")),
     LimitsSection(430, 4200, 1000.0),
@@ -74,6 +77,21 @@
     homeRegions = emptySet()
 )
 
+/** Record of an endpoint that is ready and warm. */
+fun endpointRecord(id: String, recordService: ServiceId, host: String, port: Int) = EndpointRecord(
+    EndpointId(id),
+    recordService,
+    host,
+    port,
+    ZoneId("z"),
+    RegionId("r"),
+    slots = 8,
+    isReady = true,
+    coldRemainingMillis = 0,
+    loadedVersions = emptyMap(),
+    startedAtMillis = 0
+)
+
 /** A gateway in front of scripted endpoints on the ports [endpoints]. */
 class TestGateway(
     private val endpoints: List<Int>,
@@ -88,7 +106,7 @@
 
     /** Events that the gateway logs. */
     val events = LogCapture()
-    private val state = GatewayState(settings(), Random(1))
+    private val state = GatewayState(entrySettings(), Random(1))
     private var starts = 0L
 
     /** Port for callers on the loopback address. */
@@ -120,7 +138,7 @@
         ),
         listOf(
             TrafficService(service, "/health", 100, 0.0, null, emptyList(), null),
-            TrafficService(engineService, "/health", 100, 0.0, engine, emptyList(), null)
+            TrafficService(engineService, "/health", 100, 0.0, testEngine, emptyList(), null)
         ).associateBy { it.id },
         CallerLimits(16_384, bodyMaxBytes, 3000, 15_000),
         listOf(Organisation(OrganisationId("acme"), setOf("k"), null, emptySet()))
@@ -132,19 +150,8 @@
         recordService: ServiceId = service,
         versions: Map<ModelId, Long> = mapOf(model to 3),
         startedAtMillis: Long = 0
-    ) = EndpointRecord(
-        EndpointId("e$index"),
-        recordService,
-        "127.0.0.1",
-        port,
-        ZoneId("z"),
-        RegionId("r"),
-        slots = 8,
-        isReady = true,
-        coldRemainingMillis = 0,
-        loadedVersions = versions,
-        startedAtMillis = startedAtMillis
-    )
+    ) = endpointRecord("e$index", recordService, "127.0.0.1", port)
+        .copy(loadedVersions = versions, startedAtMillis = startedAtMillis)
 
     /** Lists the endpoint on [endpointPort] as restarted. */
     fun onRestart(endpointPort: Int) = onLoop {
