Respect what endpoints say: leaving, and time without requests

Cause: Server-Leaving and the Retry-After of a 503 were read by no code. Endpoints were avoided only by the general backoff after failures (60 ms) and by the list of endpoints.

Any response that says the endpoint is leaving excludes that run of it from first sends, the queue, retries and resumed streams, whatever the list says. A 503 that asks for time excludes it for that time (RequestedBackoff); a shorter time asked for later does not end a longer one. If all endpoints ask for time, requests are refused at once with the end of the first backoff as Retry-After. A request that no untried endpoint can serve is refused at once. Events E515 and E516, two gauges. CallPlacement is split off the dispatcher.

Ruled out: sharing the backoff between entries, as it is asked of one VM only.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -64,5 +64,7 @@
         513,
         "requests with a fingerprint are refused because they crash endpoints"
     ),
-    ENDPOINT_LIMITED(514, "endpoint named, changed or lifted a limit on its requests")
+    ENDPOINT_LIMITED(514, "endpoint named, changed or lifted a limit on its requests"),
+    ENDPOINT_LEAVING(515, "endpoint said that it is leaving"),
+    ENDPOINT_BACKOFF(516, "endpoint asked for no requests for a time")
 }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CallQueue.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CallQueue.kt
@@ -91,10 +91,14 @@
     fun urgency(isOnTime: Boolean, priority: Int): Int =
         if (isOnTime) priority.coerceIn(0, ON_TIME_URGENCY_MAX) else LATE_URGENCY
 
-    /** Delay after which a refused caller should retry, given the predicted wait for a slot. */
-    fun retryAfterMillis(predictedMillis: Double, random: Random): Long {
+    /**
+     * Delay after which a refused caller should retry, given the predicted wait for a slot. If all
+     * endpoints take requests only in [opensInMillis], it is not shorter than that.
+     */
+    fun retryAfterMillis(predictedMillis: Double, random: Random, opensInMillis: Long = 0): Long {
         val base = predictedMillis.coerceIn(RETRY_MIN_MILLIS, RETRY_MAX_MILLIS)
-        return (base * (1 + random.nextDouble() * RETRY_JITTER)).toLong()
+        val spread = base * random.nextDouble() * RETRY_JITTER
+        return (maxOf(base, opensInMillis.toDouble()) + spread).toLong()
     }
 
     // The 95th percentile of the prediction error is about a quarter.
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -74,6 +74,7 @@
     private var allottedFreeSlots = 0
     private var coldUntilMillis = firstSeenMillis + record.coldRemainingMillis
     private val rateLimit = EndpointRateLimit(random)
+    private val requestedBackoff = RequestedBackoff()
     private val recentAttempts = SlidingWindowCounter(COLD_WINDOW_MILLIS)
     private var failureScore = 0.0
     private var scoreUpdatedMillis = firstSeenMillis
@@ -89,6 +90,13 @@
     var isSuperseded = false
         internal set
 
+    /** Whether the current run of the endpoint has said that it is leaving. */
+    var isLeaving = false
+        private set
+
+    /** Whether the endpoint takes new requests, by its record and by its own responses. */
+    val isAccepting: Boolean get() = record.isReady && !isLeaving
+
     /** Applies a newer endpoint record. */
     fun update(changed: EndpointRecord, nowMillis: Long) {
         if (changed.coldRemainingMillis > 0) {
@@ -98,6 +106,8 @@
             isAddressReused = false
             slowPathUntilMillis = 0
             rateLimit.reset()
+            requestedBackoff.reset()
+            isLeaving = false
         }
         record = changed
     }
@@ -169,6 +179,18 @@
     fun onNamedLimit(named: NamedLimit, sentMillis: Long, nowMillis: Long) =
         rateLimit.onNamed(named, sentMillis, nowMillis)
 
+    /** Records that the endpoint has said that it is leaving. */
+    fun onLeaving() {
+        isLeaving = true
+    }
+
+    /** Records that the endpoint wants no requests from this entry for [backoffMillis]. */
+    fun onBackoffRequested(backoffMillis: Long, nowMillis: Long) =
+        requestedBackoff.onRefused(backoffMillis, nowMillis)
+
+    /** Time for which the endpoint still wants no requests from this entry. */
+    fun requestedBackoffMillis(nowMillis: Long): Long = requestedBackoff.remainingMillis(nowMillis)
+
     /** Applies the limit [reported] by another entry. */
     fun onReportedLimit(reported: EndpointLimit, nowMillis: Long) = rateLimit.onReported(
         (reported.milliPerSecond / MILLIS_PER_SECOND).takeIf { it >= 0 },
@@ -188,9 +210,9 @@
         )
     }
 
-    /** Time until the limit lets one of [entryCount] entries send; 0 if it may send now. */
-    fun limitOpensInMillis(entryCount: Int, nowMillis: Long): Long =
-        rateLimit.opensInMillis(entryCount, nowMillis)
+    /** Time until what the endpoint asks for lets one of [entryCount] entries send; 0 for now. */
+    fun opensInMillis(entryCount: Int, nowMillis: Long): Long =
+        maxOf(rateLimit.opensInMillis(entryCount, nowMillis), requestedBackoffMillis(nowMillis))
 
     /** Records that a request to the endpoint has ended. */
     fun onEnd() {
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -35,9 +35,10 @@
 
     /**
      * All endpoints are busy; the earliest first byte is predicted after [firstByteMillis]. If all
-     * are at the limit that they name, the first one may get a request in [limitOpensInMillis].
+     * are at the limit that they name or request a backoff, the first one may get a request in
+     * [opensInMillis].
      */
-    data class Busy(val firstByteMillis: Double, val limitOpensInMillis: Long = 0) : Placement
+    data class Busy(val firstByteMillis: Double, val opensInMillis: Long = 0) : Placement
 
     /** No endpoint may serve the request. */
     data object Nowhere : Placement
@@ -62,13 +63,18 @@
         var bestCost = Double.MAX_VALUE
         var bestFirstByteMillis = Double.MAX_VALUE
         var earliestMillis = Double.MAX_VALUE
-        var limitOpensInMillis = Long.MAX_VALUE
+        var firstOpensInMillis = Long.MAX_VALUE
         for (endpoint in fleet.of(query.service.id)) {
             if (!isEligible(endpoint, query, nowMillis)) continue
+            val opensInMillis = endpoint.opensInMillis(entryCount, nowMillis)
+            if (endpoint.isExcluded(nowMillis)) {
+                val backoffMillis = endpoint.requestedBackoffMillis(nowMillis)
+                firstOpensInMillis = minOf(firstOpensInMillis, backoffMillis)
+                continue
+            }
             val predicted = firstByteMillis(endpoint, query, nowMillis, entryCount)
-            val opensInMillis = endpoint.limitOpensInMillis(entryCount, nowMillis)
             earliestMillis = minOf(earliestMillis, predicted + opensInMillis)
-            limitOpensInMillis = minOf(limitOpensInMillis, opensInMillis)
+            firstOpensInMillis = minOf(firstOpensInMillis, opensInMillis)
             if (opensInMillis > 0 ||
                 predicted > budgetMillis ||
                 !hasCapacity(endpoint, query, nowMillis, entryCount)
@@ -85,10 +91,11 @@
             }
         }
         if (best != null) return Placement.Send(best, bestFirstByteMillis)
-        return if (earliestMillis == Double.MAX_VALUE) {
-            Placement.Nowhere
-        } else {
-            Placement.Busy(earliestMillis, limitOpensInMillis)
+        return when {
+            earliestMillis < Double.MAX_VALUE -> Placement.Busy(earliestMillis, firstOpensInMillis)
+            firstOpensInMillis in 1 until Long.MAX_VALUE ->
+                Placement.Busy(firstOpensInMillis.toDouble(), firstOpensInMillis)
+            else -> Placement.Nowhere
         }
     }
 
@@ -98,13 +105,12 @@
         nowMillis: Long
     ): Boolean {
         val record = endpoint.record
-        return record.isReady &&
+        return endpoint.isAccepting &&
             !endpoint.isSuperseded &&
             record.zone !in query.excludedZones &&
             record.id !in query.tried &&
             (query.regions == null || record.region in query.regions) &&
             hasWeights(endpoint, query, nowMillis) &&
-            !endpoint.isExcluded(nowMillis) &&
             !endpoint.isPaused(nowMillis) &&
             !(query.mustFinish && isInterruptedByLoad(endpoint, query, nowMillis))
     }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/RequestCodec.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/RequestCodec.kt
@@ -66,8 +66,8 @@
     /** Weight version on which a response began; null when the response does not state it. */
     fun weightVersionOf(header: (String) -> String?): Long?
 
-    /** Limit on the rate of requests that a response states. */
-    fun namedLimitOf(header: (String) -> String?): NamedLimit
+    /** What the head of a response with [status] says about its endpoint. */
+    fun statementOf(status: Int, header: (String) -> String?): EndpointStatement
 
     /** Headers of a response that the gateway itself generates. */
     fun callerHeaders(id: RequestId): List<HeaderLine>
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/PlacementTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/PlacementTest.kt
@@ -60,6 +60,53 @@
                     BUDGET_MILLIS
             }
         }
+        describe("an endpoint that says that it is leaving") {
+            it("receives no requests until its next run") {
+                val fleet = fleet(record("e"))
+                fleet.find(EndpointId("e"))!!.onLeaving()
+                fleet.put(record("e").copy(host = "10.0.0.0"), 10)
+                placer(fleet).place(query(), BUDGET_MILLIS, 10, 4) shouldBe Placement.Nowhere
+                fleet.put(record("e").copy(host = "10.0.0.0", startedAtMillis = 5), 20)
+                placer(fleet).place(query(), BUDGET_MILLIS, 20, 4)
+                    .shouldBeInstanceOf<Placement.Send>()
+            }
+        }
+        describe("an endpoint that requests a backoff") {
+            fun Fleet.refuse(id: String, backoffMillis: Long) =
+                find(EndpointId(id))!!.onBackoffRequested(backoffMillis, 0)
+            it("receives no request before the end of the backoff") {
+                val fleet = fleet(record("e0"), record("e1"))
+                fleet.refuse("e0", 4000)
+                listOf(0L, 3999L).forEach { now ->
+                    placer(fleet).place(query(), BUDGET_MILLIS, now, 4)
+                        .shouldBeInstanceOf<Placement.Send>().endpoint.record.id.value shouldBe "e1"
+                }
+                fleet.refuse("e1", 8000)
+                placer(fleet).place(query(), BUDGET_MILLIS, 4000, 4)
+                    .shouldBeInstanceOf<Placement.Send>().endpoint.record.id.value shouldBe "e0"
+            }
+            it("is the first to take requests again if all others ask for more") {
+                val fleet = fleet(record("e0"), record("e1"))
+                fleet.refuse("e0", 4000)
+                fleet.refuse("e1", 3000)
+                placer(fleet).place(query(), BUDGET_MILLIS, 1000, 4)
+                    .shouldBeInstanceOf<Placement.Busy>().opensInMillis shouldBe 2000
+            }
+            it("tells when it opens also while it is excluded after failures") {
+                val fleet = fleet(record("e"))
+                fleet.refuse("e", 4000)
+                fleet.find(EndpointId("e"))!!.onSignal(EndpointSignal.OVERLOADED, 0)
+                placer(fleet).place(query(), BUDGET_MILLIS, 10, 4)
+                    .shouldBeInstanceOf<Placement.Busy>().opensInMillis shouldBe 3990
+            }
+            it("does not hide that another one may recover at any time") {
+                val fleet = fleet(record("e0"), record("e1"))
+                fleet.refuse("e0", 4000)
+                fleet.find(EndpointId("e1"))!!.onSignal(EndpointSignal.OVERLOADED, 0)
+                placer(fleet).place(query(), BUDGET_MILLIS, 10, 4)
+                    .shouldBeInstanceOf<Placement.Busy>().opensInMillis shouldBe 0
+            }
+        }
         describe("an endpoint") {
             val cases = mapOf(
                 "is draining" to record("e", isReady = false),
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -13,6 +13,7 @@
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRun
 import org.toucanspur.core.gateway.EndpointSignal
+import org.toucanspur.core.gateway.EndpointStatement
 import org.toucanspur.core.gateway.EventStreamSplitter
 import org.toucanspur.core.gateway.Fingerprint
 import org.toucanspur.core.gateway.FleetEndpoint
@@ -40,8 +41,8 @@
     /** Called when an attempt ends with [outcome]; the call may be sent to another endpoint. */
     fun onAttemptFailed(call: Call, outcome: AttemptOutcome, reason: String)
 
-    /** Called when a response of [endpoint] states or omits a [limit] on the rate of requests. */
-    fun onNamedLimit(call: Call, endpoint: FleetEndpoint, limit: NamedLimit)
+    /** Called with the [statement] in the head of a response of [endpoint]. */
+    fun onStatement(call: Call, endpoint: FleetEndpoint, statement: EndpointStatement)
 
     /** Called when the response of an [endpoint] that ran the request begins. */
     fun onResponseBegun(call: Call, endpoint: FleetEndpoint)
@@ -252,7 +253,7 @@
         val respondedId = delegate.codec.requestIdOf(lookup)
         weightVersion = delegate.codec.weightVersionOf(lookup)
         val isIdentified = respondedId == id || id.value.isEmpty()
-        if (isIdentified) applyLimit(status, lookup)
+        applyStatement(status, lookup, isIdentified)
         when {
             respondedId != null && respondedId != id -> onBrokenResponse(
                 "answer to another request"
@@ -283,13 +284,14 @@
             .trim()
             .lowercase()
 
-    // A response lifts the limit only if it certainly comes from the endpoint.
-    private fun applyLimit(status: Int, lookup: (String) -> String?) {
-        val limit = delegate.codec.namedLimitOf(lookup)
+    private fun applyStatement(status: Int, lookup: (String) -> String?, isIdentified: Boolean) {
+        val statement = delegate.codec.statementOf(status, lookup)
+        // A response lifts the limit only if it certainly comes from the endpoint.
         val isOwn = status != MISDIRECTED &&
             (delegate.codec.isSealed(lookup) || delegate.codec.isNotExecuted(status, lookup))
-        if (limit == NamedLimit.None && !isOwn) return
-        endpoint?.let { delegate.onNamedLimit(this, it, limit) }
+        val isLimitKnown = isIdentified && (isOwn || statement.limit != NamedLimit.None)
+        val limit = if (isLimitKnown) statement.limit else NamedLimit.Unreadable
+        endpoint?.let { delegate.onStatement(this, it, statement.copy(limit = limit)) }
     }
 
     private fun acceptResponse(response: HttpResponse, status: Int) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -13,10 +13,9 @@
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRequestMetadata
 import org.toucanspur.core.gateway.EndpointSignal
+import org.toucanspur.core.gateway.EndpointStatement
 import org.toucanspur.core.gateway.FleetEndpoint
-import org.toucanspur.core.gateway.NamedLimit
 import org.toucanspur.core.gateway.Placement
-import org.toucanspur.core.gateway.PlacementQuery
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.RetryDecision
 import org.toucanspur.core.gateway.WaitPolicy
@@ -25,7 +24,6 @@
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
-import org.toucanspur.schema.RegionId
 import org.toucanspur.schema.RequestId
 
 /** Dispatches the requests of one entry; confined to the event loop. */
@@ -39,7 +37,8 @@
 ) : CallDelegate {
     private val admission = CallAdmission(state)
     private val versions = CallVersions(state, log, metrics)
-    private val limits = CallLimits(log)
+    private val placements = CallPlacement(state, versions)
+    private val statements = EndpointStatements(log)
     override val crashes = CrashObserver(state, log, metrics)
     private val queue = CallQueue<Call>(queueMax)
     private val activeCalls = LinkedHashSet<Call>()
@@ -87,7 +86,7 @@
         call.deadlineTimer = loop.schedule(call.deadlineMillis - monotonicMillis()) {
             onDeadline(call)
         }
-        sendOrQueue(call, isFirstAttempt = true)
+        sendOrQueue(call)
         return call
     }
 
@@ -100,13 +99,13 @@
         return longest - remaining < call.route.targetMillis / 2
     }
 
-    private fun sendOrQueue(call: Call, isFirstAttempt: Boolean) {
+    private fun sendOrQueue(call: Call) {
         val now = monotonicMillis()
         crashes.refusal(call, now)?.let {
             refuse(call, it)
             return
         }
-        val placement = place(call, now)
+        val placement = placements.place(call, now)
         if (placement is Placement.Send) {
             send(call, placement)
             return
@@ -119,9 +118,11 @@
         }
         call.untilMillis = now + minOf(waitMillis, remaining)
         val isUnservable =
-            isFirstAttempt && placement is Placement.Nowhere && !hasReadyEndpoint(call)
+            !call.isCommitted &&
+                placement is Placement.Nowhere &&
+                !placements.hasAcceptingEndpoint(call)
         when {
-            isUnservable || limits.mustRefuse(call, placement, queue.size, now) ->
+            isUnservable || statements.mustRefuse(call, placement, queue.size, now) ->
                 failUnplaced(call, placement)
             queue.add(call) -> metrics.queued.increment()
             else -> failUnplaced(call, placement)
@@ -134,45 +135,6 @@
         refuseUnplaced(call, placement)
     }
 
-    // A ready endpoint that cannot serve now may become available while the request is queued.
-    private fun hasReadyEndpoint(call: Call): Boolean =
-        state.fleet.of(call.service.id).any { it.record.isReady }
-
-    private fun place(call: Call, nowMillis: Long, isFinalAttempt: Boolean = false): Placement {
-        val elapsed = nowMillis - call.request.receivedMillis
-        val budget = if (call.isCommitted) {
-            RESUME_BUDGET_MILLIS
-        } else {
-            WaitPolicy.firstByteBudgetMillis(call.route.targetMillis, elapsed, call.isOnTime)
-        }
-        val query = PlacementQuery(
-            service = call.service,
-            promptTokens = call.metadata.promptTokens
-                ?: call.service.engine?.typicalPromptTokens
-                ?: 0,
-            regions = allowedRegions(call),
-            excludedZones = state.evacuatedZones,
-            tried = call.tried,
-            versionMin = versions.versionMin(call, nowMillis),
-            slowPathVersionMin = versions.slowPathVersionMin(call, nowMillis),
-            mustFinish = !isFinalAttempt &&
-                call.executedAttempts > 0 &&
-                call.executedAttempts + 1 >= call.route.endpointsMax
-        )
-        return state.placer.place(query, budget, nowMillis, state.entryCount(nowMillis))
-    }
-
-    private fun allowedRegions(call: Call): Set<RegionId>? {
-        val organisationRegions = call.organisation?.homeRegions.orEmpty()
-        val routeRegions = call.route.homeRegions
-        return when {
-            organisationRegions.isEmpty() && routeRegions.isEmpty() -> null
-            organisationRegions.isEmpty() -> routeRegions
-            routeRegions.isEmpty() -> organisationRegions
-            else -> organisationRegions intersect routeRegions
-        }
-    }
-
     private fun send(call: Call, placement: Placement.Send) {
         val now = monotonicMillis()
         crashes.refusal(call, now)?.let {
@@ -223,15 +185,12 @@
     }
 
     private fun refuseUnplaced(call: Call, placement: Placement) {
-        val isBusy = placement is Placement.Busy
-        val predicted = if (placement is Placement.Busy) {
-            placement.firstByteMillis
+        val reason = if (placement is Placement.Busy) {
+            "all endpoints are busy"
         } else {
-            NO_ENDPOINT_RETRY_MILLIS
+            "no endpoint can serve"
         }
-        val retryMillis = WaitPolicy.retryAfterMillis(predicted, state.random)
-        val reason = if (isBusy) "all endpoints are busy" else "no endpoint can serve"
-        refuse(call, Refusal(UNAVAILABLE, reason, retryMillis))
+        refuse(call, Refusal(UNAVAILABLE, reason, placements.retryAfterMillis(call, placement)))
     }
 
     // Status 503 guarantees that the request was not executed, so it is used only if no endpoint
@@ -311,24 +270,20 @@
             RetryDecision.DENIED -> false
         }
         call.mayHaveExecuted = call.mayHaveExecuted || outcome == AttemptOutcome.MAY_HAVE_RUN
-        if (mayRetry) sendOrQueue(call, isFirstAttempt = false) else fail(call, reason)
+        if (mayRetry) sendOrQueue(call) else fail(call, reason)
     }
 
     private fun fail(call: Call, reason: String) {
         val refusal = if (call.mayHaveExecuted) {
             Refusal(BAD_GATEWAY, reason)
         } else {
-            Refusal(
-                UNAVAILABLE,
-                reason,
-                WaitPolicy.retryAfterMillis(SHORT_RETRY_MILLIS, state.random)
-            )
+            Refusal(UNAVAILABLE, reason, placements.retryAfterMillis(call, Placement.Nowhere))
         }
         refuse(call, refusal)
     }
 
-    override fun onNamedLimit(call: Call, endpoint: FleetEndpoint, limit: NamedLimit) =
-        limits.onNamedLimit(call, endpoint, limit)
+    override fun onStatement(call: Call, endpoint: FleetEndpoint, statement: EndpointStatement) =
+        statements.onStatement(call, endpoint, statement)
 
     override fun onResponseBegun(call: Call, endpoint: FleetEndpoint) =
         versions.onResponseBegun(call, endpoint)
@@ -391,7 +346,7 @@
         val refusal = if (wasSent) {
             Refusal(GATEWAY_TIMEOUT, "time is over")
         } else {
-            Refusal(UNAVAILABLE, "time is over while waiting", SHORT_RETRY_MILLIS.toLong())
+            Refusal(UNAVAILABLE, "time is over while waiting", SHORT_RETRY_MILLIS)
         }
         refuse(call, refusal)
     }
@@ -410,7 +365,7 @@
 
     private fun onWaitExpired(call: Call, nowMillis: Long) {
         // As a last resort, accepts an endpoint that may load weights before the response ends.
-        val finalPlacement = place(call, nowMillis, isFinalAttempt = true)
+        val finalPlacement = placements.place(call, nowMillis, isFinalAttempt = true)
         when {
             call.executedAttempts > 0 && finalPlacement is Placement.Send -> send(
                 call,
@@ -424,7 +379,7 @@
     private fun drainQueue() {
         val now = monotonicMillis()
         queue.drain { call ->
-            val placement = place(call, now)
+            val placement = placements.place(call, now)
             if (placement is Placement.Send) {
                 send(call, placement)
                 true
@@ -440,7 +395,7 @@
         if (call.isCommitted && !call.isResumable) return
         if (nowMillis - call.lastProgressMillis < stallMillis(call.route, call.isCommitted)) return
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return
-        val placement = place(call, nowMillis)
+        val placement = placements.place(call, nowMillis)
         val endpoint = call.endpoint
         if (placement !is Placement.Send || placement.endpoint === endpoint) return
         if (!takeRetryPermit(call, nowMillis)) return
@@ -474,12 +429,9 @@
         // has lost a packet or its peer does not respond.
         const val CONNECT_TIMEOUT_MILLIS = 300
 
-        // An engine with staged weights loads them within about this time.
-        const val NO_ENDPOINT_RETRY_MILLIS = 800.0
-        const val SHORT_RETRY_MILLIS = 200.0
+        const val SHORT_RETRY_MILLIS = 200L
 
         // Callers close a stream after two seconds without an event.
         const val RESUME_WAIT_MILLIS = 1500L
-        const val RESUME_BUDGET_MILLIS = 900.0
     }
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallPlacement.kt
@@ -0,0 +1,91 @@
+/*
+ * Places calls on endpoints: what a call requires of its endpoint, whether waiting may help if none
+ * fits, and when its caller should come back.
+ */
+package org.toucanspur.daemon.gateway
+
+import org.toucanspur.core.gateway.Placement
+import org.toucanspur.core.gateway.PlacementQuery
+import org.toucanspur.core.gateway.WaitPolicy
+import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.schema.EndpointId
+import org.toucanspur.schema.RegionId
+
+/** Placement of the calls of one entry; confined to the event loop. */
+class CallPlacement(private val state: GatewayState, private val versions: CallVersions) {
+    /** Selects an endpoint for [call] other than those in [tried]. */
+    fun place(
+        call: Call,
+        nowMillis: Long,
+        isFinalAttempt: Boolean = false,
+        tried: Set<EndpointId> = call.tried
+    ): Placement {
+        val elapsed = nowMillis - call.request.receivedMillis
+        val budget = if (call.isCommitted) {
+            RESUME_BUDGET_MILLIS
+        } else {
+            WaitPolicy.firstByteBudgetMillis(call.route.targetMillis, elapsed, call.isOnTime)
+        }
+        val query = PlacementQuery(
+            service = call.service,
+            promptTokens = call.metadata.promptTokens
+                ?: call.service.engine?.typicalPromptTokens
+                ?: 0,
+            regions = allowedRegions(call),
+            excludedZones = state.evacuatedZones,
+            tried = tried,
+            versionMin = versions.versionMin(call, nowMillis),
+            slowPathVersionMin = versions.slowPathVersionMin(call, nowMillis),
+            mustFinish = !isFinalAttempt &&
+                call.executedAttempts > 0 &&
+                call.executedAttempts + 1 >= call.route.endpointsMax
+        )
+        return state.placer.place(query, budget, nowMillis, state.entryCount(nowMillis))
+    }
+
+    private fun allowedRegions(call: Call): Set<RegionId>? {
+        val organisationRegions = call.organisation?.homeRegions.orEmpty()
+        val routeRegions = call.route.homeRegions
+        return when {
+            organisationRegions.isEmpty() && routeRegions.isEmpty() -> null
+            organisationRegions.isEmpty() -> routeRegions
+            routeRegions.isEmpty() -> organisationRegions
+            else -> organisationRegions intersect routeRegions
+        }
+    }
+
+    /**
+     * Whether an endpoint may become able to serve [call] while it is queued. One that already had
+     * the request does not get it again.
+     */
+    fun hasAcceptingEndpoint(call: Call): Boolean =
+        state.fleet.of(call.service.id).any { it.isAccepting && it.record.id !in call.tried }
+
+    /**
+     * Time after which the caller of [call], which got [placement], should come back. Its next
+     * request may also go to the endpoints that have refused this one.
+     */
+    fun retryAfterMillis(call: Call, placement: Placement): Long {
+        val next = if (call.tried.isEmpty()) {
+            placement
+        } else {
+            place(call, monotonicMillis(), tried = emptySet())
+        }
+        return when (next) {
+            is Placement.Busy ->
+                WaitPolicy.retryAfterMillis(next.firstByteMillis, state.random, next.opensInMillis)
+            is Placement.Send -> WaitPolicy.retryAfterMillis(SHORT_RETRY_MILLIS, state.random)
+            Placement.Nowhere ->
+                WaitPolicy.retryAfterMillis(NO_ENDPOINT_RETRY_MILLIS, state.random)
+        }
+    }
+
+    private companion object {
+        // An engine with staged weights loads them within about this time.
+        const val NO_ENDPOINT_RETRY_MILLIS = 800.0
+        const val SHORT_RETRY_MILLIS = 200.0
+
+        // Callers close a stream after two seconds without an event.
+        const val RESUME_BUDGET_MILLIS = 900.0
+    }
+}
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.gateway.FleetEndpoint
 import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.ObjectFeed
 import org.toucanspur.core.platform.ObjectKind
@@ -79,12 +80,17 @@
         registry.gauge("toucanspur.fingerprints.refused", state) {
             it.crashSuspects.refusedCount.toDouble()
         }
-        registry.gauge("toucanspur.endpoints.limited", state) { current ->
-            current.fleet.all().count { it.limitPerSecond != null }.toDouble()
+        registerEndpointGauge("toucanspur.endpoints.limited") { it.limitPerSecond != null }
+        registerEndpointGauge("toucanspur.endpoints.leaving") { it.isLeaving }
+        registerEndpointGauge("toucanspur.endpoints.backing.off") {
+            it.requestedBackoffMillis(monotonicMillis()) > 0
         }
         loop.scheduleRepeating(FRESHNESS_CHECK_MILLIS, ::checkFreshness)
     }
 
+    private fun registerEndpointGauge(name: String, counts: (FleetEndpoint) -> Boolean) =
+        registry.gauge(name, state) { it.fleet.all().count(counts).toDouble() }
+
     private fun startWatch(
         kind: ObjectKind,
         waitMillis: Long,
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -159,6 +159,19 @@
         state.fleet.put(record(index, endpointPort, startedAtMillis = ++starts), 0)
     }
 
+    /** Lists the endpoint on [endpointPort] once more, as removed and added again. */
+    fun relist(endpointPort: Int) = onLoop {
+        val relisted = record(endpoints.indexOf(endpointPort), endpointPort)
+        state.fleet.remove(relisted.id, monotonicMillis())
+        state.fleet.put(relisted, monotonicMillis())
+    }
+
+    /** Applies a refusal of the endpoint on [endpointPort] that asks for [backoffMillis]. */
+    fun requestBackoff(endpointPort: Int, backoffMillis: Long) = onLoop {
+        val id = EndpointId("e${endpoints.indexOf(endpointPort)}")
+        state.fleet.find(id)?.onBackoffRequested(backoffMillis, monotonicMillis())
+    }
+
     /** Lists an engine on [port] that has loaded [version]. */
     fun addEngine(port: Int, version: Long) = onLoop {
         val versions = mapOf(model to version)
@@ -176,6 +189,9 @@
     fun callEngine(path: String = "/engine/"): String =
         call(path, extraHeaders = "Model: ${model.value}\r\n")
 
+    /** Number of requests that have been queued. */
+    val queuedCount: Long get() = registry.counter("toucanspur.requests.waited").count().toLong()
+
     /** Number of responses counted as outdated. */
     val outdatedCount: Long get() = registry.counter(
         "toucanspur.responses.outdated"
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
@@ -2,6 +2,7 @@
 
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRequestMetadata
+import org.toucanspur.core.gateway.EndpointStatement
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.core.gateway.NamedLimit
 import org.toucanspur.core.gateway.RequestCodec
@@ -40,10 +41,14 @@
 
     override fun weightVersionOf(header: (String) -> String?) = header("Version")?.toLong()
 
-    override fun namedLimitOf(header: (String) -> String?): NamedLimit {
-        val text = header("Limit") ?: return NamedLimit.None
-        return text.toDoubleOrNull()?.let(NamedLimit::Rate) ?: NamedLimit.Unreadable
-    }
+    override fun statementOf(status: Int, header: (String) -> String?) = EndpointStatement(
+        limit = when (val text = header("Limit")) {
+            null -> NamedLimit.None
+            else -> text.toDoubleOrNull()?.let(NamedLimit::Rate) ?: NamedLimit.Unreadable
+        },
+        isLeaving = header("Leaving") != null,
+        backoffMillis = header("Backoff-Millis")?.toLong() ?: 0
+    )
 
     override fun callerHeaders(id: RequestId) = listOf(HeaderLine("Id", id.value))
 }
