Follow the list of endpoints whatever one object holds

Operators saw: after one odd object among the endpoints (nested deeply, a number too large, a port out of range) machines ended again and again or stopped following the list.

Here: the entry kept running and said that it was ready, but used no endpoint listed after the object. Cause: the JSON parser recurses, so deep nesting overflows the stack; StackOverflowError left the decoder and ended the watch for good. Numbers were cut to 32 bits (slots became 16), a host could be a name, which blocks the event loop in a lookup.

Endpoints and target versions decode to a value or a RecordFault with field, problem and remedy, logged once (E222, E228) and counted. Timers, watches and loops of entries and agents report a failure (E105) and run again; an entry whose watch has failed is not ready until it has caught up. Frames that make the CBOR library throw other exceptions are malformed frames.

Ports out of range were rejected before.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
@@ -47,6 +47,14 @@
 private const val FIRST_PORT = 20_000
 private const val LAST_PORT = 32_000
 private const val PORTS_PER_FIXTURE = 4
+
+private const val GRACE_SECONDS = 5
+
+// Later than the last moment at which a request that takes half a second can be served.
+private const val LATE_MILLIS = 4000L
+
+// Levels of nesting of an odd object.
+private const val NESTED = 20_000
 private val nextPortCandidate = AtomicInteger(FIRST_PORT)
 
 /** Returns the first of [PORTS_PER_FIXTURE] consecutive free ports. */
@@ -72,6 +80,7 @@
 private class BlockingEndpoint : AutoCloseable {
     private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
     val receivedPaths = CopyOnWriteArrayList<String>()
+    val receivedDeadlines = CopyOnWriteArrayList<Long>()
 
     @Volatile
     var responseLatch = CountDownLatch(0)
@@ -82,6 +91,9 @@
         server.createContext("/") { exchange ->
             exchange.use {
                 receivedPaths += exchange.requestURI.path
+                exchange.requestHeaders.getFirst("X-Deadline-Remaining")?.let {
+                    receivedDeadlines += it.toLong()
+                }
                 responseLatch.await()
                 exchange.responseHeaders.add("X-Response-Seal", "s")
                 exchange.sendResponseHeaders(200, 4)
@@ -95,7 +107,7 @@
 }
 
 /** An entry with an object store and two endpoints. */
-private class PlatformFixture : AutoCloseable {
+private class PlatformFixture(private val graceSeconds: Int = 60) : AutoCloseable {
     val store = ObjectStoreService()
     val endpointOne = BlockingEndpoint()
     val endpointTwo = BlockingEndpoint()
@@ -116,7 +128,7 @@
         StoreSection(store.address, 1200),
         EngineSection("none", ServiceId("none")),
         LimitsSection(430, 4200, 1000.0),
-        BoundsSection(2000, 60, 60_000, 5000, 8000, 0.2, 10, 100, 5, 120)
+        BoundsSection(2000, graceSeconds, 60_000, 5000, 8000, 0.2, 10, 100, 5, 120)
     )
 
     fun putConfiguration(version: Int, service: String, keys: String = "\"k\"") = store.put(
@@ -124,7 +136,10 @@
         "main",
         """{"version":$version,"routes":[{"name":"r1","host":"h","path-prefix":"/a/",
         "kind":"idempotent","timeout-ms":60000,"target-latency-ms":60000,"priority":1,
-        "service":"$service","attempts":2}],
+        "service":"$service","attempts":2},
+        {"name":"r2","host":"h","path-prefix":"/once/","kind":"non_idempotent",
+        "timeout-ms":60000,"target-latency-ms":60000,"priority":1,"service":"$service",
+        "attempts":1}],
         "services":[{"name":"s1","connection-limit":10},{"name":"s2","connection-limit":10}],
         "tenants":[{"name":"t","api-keys":[$keys]}]}"""
     )
@@ -148,6 +163,10 @@
             socket.getInputStream().readBytes().decodeToString()
         }
 
+    fun open(): Socket = Socket("127.0.0.1", callersPort).apply {
+        soTimeout = testTimeout.inWholeMilliseconds.toInt()
+    }
+
     fun readiness(): String = Socket("127.0.0.1", readinessPort).use { socket ->
         socket.getOutputStream().write(
             "GET /v1/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".encodeToByteArray()
@@ -222,6 +241,36 @@
                 fixture.call(key = "k") shouldContain "401"
             }
         }
+        describe("an odd object among the endpoints") {
+            val endpoint = """"service":"s1","address":"127.0.0.1:9","zone":"z","slots":4,""" +
+                "\"state\":\"ready\""
+            val deepArrays = "[".repeat(NESTED) + "]".repeat(NESTED)
+            val deepObjects = "{\"a\":".repeat(NESTED) + "1" + "}".repeat(NESTED)
+            mapOf(
+                "has deeply nested arrays" to "{$endpoint,\"x\":$deepArrays}",
+                "has deeply nested objects" to "{$endpoint,\"x\":$deepObjects}",
+                "is nothing but nested arrays" to deepArrays,
+                "has a number that is too large" to "{$endpoint,\"born\":${"9".repeat(400)}}",
+                "has a port that is out of range" to "{${endpoint.replace(":9\"", ":99999\"")}}",
+                "has no fields" to "{}",
+                "is no object" to "\"ready\""
+            ).forEach { (name, content) ->
+                listOf(true, false).forEach { isListed ->
+                    val moment = if (isListed) "before the entry lists them" else "later"
+                    it("does not hide the others when it $name, stored $moment") {
+                        if (isListed) fixture.store.put("servers", "e0", content)
+                        fixture.putConfiguration(1, "s1")
+                        if (!isListed) {
+                            eventually(testTimeout) { fixture.readiness() shouldContain "200" }
+                            fixture.store.put("servers", "e0", content)
+                        }
+                        fixture.putServer("e1", "s1", fixture.endpointOne.port)
+                        eventually(testTimeout) { fixture.call() shouldContain "done" }
+                        fixture.readiness() shouldContain "200"
+                    }
+                }
+            }
+        }
         describe("a graceful shutdown") {
             it("completes the running request and reports not ready at once") {
                 fixture.putConfiguration(1, "s1")
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -132,12 +132,14 @@
                 ::onTargetVersionSet
             )
         )
-        loop.scope.launch { reportLoop() }
-        loop.scope.launch { loadLoop() }
-        loop.scope.launch { stageLoop() }
+        loop.supervise("engine reports") { reportLoop() }
+        loop.supervise("loads") { loadLoop() }
+        loop.supervise("staging") { stageLoop() }
     }
 
-    private fun followKind(kind: ObjectKind, sink: ObjectWatchListener) = loop.scope.launch {
+    private fun followKind(kind: ObjectKind, sink: ObjectWatchListener) = loop.supervise(
+        "watch $kind"
+    ) {
         ObjectWatcher(
             store,
             kind,
@@ -318,9 +320,14 @@
             stagingQueue.trySend(key to it)
         }
         transfer = started
-        transferJob = loop.scope.launch {
+        transferJob = loop.launch("transfer") {
             val refreshing = launch { refreshPeersPeriodically(started) }
-            started.run(this)
+            try {
+                started.run(this)
+            } finally {
+                // After a failure, the next check starts the transfer again.
+                if (transfer === started && !cache.isComplete(key)) transfer = null
+            }
             refreshing.cancel()
         }
     }
@@ -353,7 +360,7 @@
 
     private suspend fun refreshPeers() {
         val listing = store.list(ObjectKind.ENDPOINTS, isStaleAllowed = true).getOrElse { return }
-        peers = listing.objects.mapNotNull { decodeEndpoint(it, regions::get) }
+        peers = listing.objects.mapNotNull { decodeEndpoint(it, regions::get).get() }
             .filter { it.service == settings.engine.service }
             .associate { VmId(it.host) to it.region }
     }
@@ -399,7 +406,7 @@
     // A peer may request a piece that is still being fetched. The reply is delayed until the piece
     // is cached, the origin is found to be unreachable, or QUERY_TIMEOUT_MILLIS have passed.
     private fun onQuery(query: PieceQuery, reply: (PieceReply) -> Unit) {
-        loop.scope.launch {
+        loop.launch("piece query") {
             val endMillis = monotonicMillis() + QUERY_TIMEOUT_MILLIS
             var found = replyFromCache(cache, query)
             while (found == null && monotonicMillis() < endMillis && !isOriginDown(query)) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -48,7 +48,7 @@
     val activeCount: Int get() = activeCalls.size
 
     init {
-        loop.scheduleRepeating(TICK_MILLIS, ::tick)
+        loop.scheduleRepeating("dispatch", TICK_MILLIS, ::tick)
     }
 
     /** Handles a completely received request. Returns its call, or null if it was not admitted. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -11,7 +11,6 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
@@ -62,6 +61,7 @@
             state.versions.onTargetVersion(target.model, target.version, since, age)
         }
     private val watches = mutableListOf<Job>()
+    private val watchHealth = WatchHealth()
     private var isStopping = false
     private var areKeysAccepted = false
 
@@ -80,12 +80,15 @@
         registry.gauge("toucanspur.fingerprints.refused", state) {
             it.crashSuspects.refusedCount.toDouble()
         }
+        registry.gauge("toucanspur.endpoints.unreadable", state) {
+            it.unreadableRecords.size.toDouble()
+        }
         registerEndpointGauge("toucanspur.endpoints.limited") { it.limitPerSecond != null }
         registerEndpointGauge("toucanspur.endpoints.leaving") { it.isLeaving }
         registerEndpointGauge("toucanspur.endpoints.backing.off") {
             it.requestedBackoffMillis(monotonicMillis()) > 0
         }
-        loop.scheduleRepeating(FRESHNESS_CHECK_MILLIS, ::checkFreshness)
+        loop.scheduleRepeating("freshness", FRESHNESS_CHECK_MILLIS, ::checkFreshness)
     }
 
     private fun registerEndpointGauge(name: String, counts: (FleetEndpoint) -> Boolean) =
@@ -97,14 +100,14 @@
         listener: ObjectWatchListener,
         batchDelayMillis: Long = 0,
         progress: WatchProgress = WatchProgress()
-    ): Job = loop.scope.launch {
+    ): Job = loop.supervise("watch $kind", { watchHealth.onFailed(kind) }) {
         ObjectWatcher(
             store,
             kind,
             waitMillis,
             systemClocks,
             random,
-            listener,
+            watchHealth.observe(kind, listener),
             batchDelayMillis,
             progress
         ).run()
@@ -134,8 +137,10 @@
         startLongPollWatches()
     }
 
-    private fun isReady(): Boolean =
-        !isStopping && state.isComplete && state.freshness.isFresh(systemClocks.now())
+    private fun isReady(): Boolean = !isStopping &&
+        state.isComplete &&
+        watchHealth.areAllFollowing &&
+        state.freshness.isFresh(systemClocks.now())
 
     private fun checkFreshness() {
         val now = systemClocks.now()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -45,7 +45,7 @@
     fun start(address: InetSocketAddress): InetSocketAddress {
         val bound = loop.listen(address, ::initializeChannel).sync().channel()
         listener = bound
-        loop.scheduleRepeating(TIMEOUT_CHECK_MILLIS, ::closeTimedOut)
+        loop.scheduleRepeating("timeouts", TIMEOUT_CHECK_MILLIS, ::closeTimedOut)
         return bound.localAddress() as InetSocketAddress
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -22,6 +22,7 @@
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.node.zoneRegions
 import org.toucanspur.daemon.wallMillis
+import org.toucanspur.platform.RecordFault
 import org.toucanspur.schema.NodeConfiguration
 import org.toucanspur.schema.RegionId
 import org.toucanspur.schema.ServiceId
@@ -60,6 +61,9 @@
     /** All known endpoints. */
     val fleet = Fleet(random = random)
 
+    /** Objects in the list of endpoints that name no endpoint, by name. */
+    val unreadableRecords = HashMap<String, RecordFault>()
+
     /** Limits that endpoints name, known to all entries. */
     val limits = LimitExchange(fleet)
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
@@ -34,12 +34,12 @@
     private var sentRevision = 0L
 
     init {
-        loop.scheduleRepeating(QUERY_MILLIS, ::sendQueries)
-        loop.scheduleRepeating(QUERY_MILLIS) {
+        loop.scheduleRepeating("load queries", QUERY_MILLIS, ::sendQueries)
+        loop.scheduleRepeating("notices", QUERY_MILLIS) {
             sendEvidence(REPEAT_AGENTS)
             sendLimits(isRepeat = true)
         }
-        loop.scheduleRepeating(NEWS_MILLIS) {
+        loop.scheduleRepeating("news", NEWS_MILLIS) {
             if (state.crashSuspects.revision != sentRevision) sendEvidence(NEWS_AGENTS)
             sendLimits(isRepeat = false)
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/PauseMonitor.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/PauseMonitor.kt
@@ -20,7 +20,7 @@
     /** Starts observing on [loop]. */
     fun start(loop: NettyEventLoop) {
         loop.executor.execute(::observe)
-        loop.scheduleRepeating(PERIOD_MILLIS, ::observe)
+        loop.scheduleRepeating("pauses", PERIOD_MILLIS, ::observe)
     }
 
     /**
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -5,6 +5,8 @@
 package org.toucanspur.daemon.gateway
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onSuccess
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.ClockPair
@@ -16,6 +18,7 @@
 import org.toucanspur.core.platform.StoredObject
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.platform.RecordFault
 import org.toucanspur.platform.TargetVersion
 import org.toucanspur.platform.decodeConfiguration
 import org.toucanspur.platform.decodeEndpoint
@@ -85,6 +88,7 @@
     private val onChanged: () -> Unit
 ) : LoggingWatchListener(ObjectKind.ENDPOINTS, log) {
     override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) {
+        state.unreadableRecords.keys.retainAll(objects.map { it.name }.toSet())
         state.fleet.replaceAll(objects.mapNotNull(::decode), monotonicMillis())
         log.event(EventCode.ENDPOINT_LISTED) { put("listed", objects.size) }
         onChanged()
@@ -101,6 +105,11 @@
     }
 
     private fun remove(name: String) {
+        state.unreadableRecords -= name
+        drop(name)
+    }
+
+    private fun drop(name: String) {
         state.fleet.remove(EndpointId(name), monotonicMillis())
         log.event(EventCode.ENDPOINT_REMOVED) { put("endpoint", name) }
     }
@@ -108,7 +117,7 @@
     private fun upsert(stored: StoredObject) {
         val record = decode(stored)
         if (record == null) {
-            remove(stored.name)
+            if (state.fleet.find(EndpointId(stored.name)) != null) drop(stored.name)
             return
         }
         state.fleet.put(record, monotonicMillis())
@@ -123,12 +132,23 @@
         }
     }
 
-    private fun decode(stored: StoredObject): EndpointRecord? {
-        val record = decodeEndpoint(stored, state.regions::get)
-        if (record == null) {
-            log.event(EventCode.ENDPOINT_UNREADABLE) { put("endpoint", stored.name) }
+    private fun decode(stored: StoredObject): EndpointRecord? =
+        decodeEndpoint(stored, state.regions::get).onSuccess {
+            state.unreadableRecords -=
+                stored.name
+        }
+            .getOrElse { fault ->
+                onUnreadable(stored, fault)
+                null
+            }
+
+    private fun onUnreadable(stored: StoredObject, fault: RecordFault) {
+        if (state.unreadableRecords.put(stored.name, fault) == fault) return
+        log.event(EventCode.ENDPOINT_UNREADABLE) {
+            put("endpoint", stored.name)
+            put("revision", stored.revision)
+            put("reason", fault.message)
         }
-        return record
     }
 
     private companion object {
@@ -180,6 +200,7 @@
 ) : LoggingWatchListener(ObjectKind.WEIGHT_VERSIONS, log) {
     private var upToDateAt: ClockReading? = null
     private val newestVersions = HashMap<ModelId, Long>()
+    private val unreadableRecords = HashMap<String, RecordFault>()
 
     override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) {
         val age = listingAge.next()
@@ -194,8 +215,20 @@
         upToDateAt = at
     }
 
+    private fun onUnreadable(stored: StoredObject, fault: RecordFault) {
+        if (unreadableRecords.put(stored.name, fault) == fault) return
+        log.event(EventCode.VERSION_UNREADABLE) {
+            put("object", stored.name)
+            put("revision", stored.revision)
+            put("reason", fault.message)
+        }
+    }
+
     private fun adopt(stored: StoredObject, since: ClockReading, age: VersionDiscovery) {
-        val target = decodeTargetVersion(stored) ?: return
+        val target = decodeTargetVersion(stored).getOrElse { fault ->
+            onUnreadable(stored, fault)
+            return
+        }
         val pause = pauses.recent()
         val now = clocks.now()
         val previous = newestVersions[target.model] ?: 0
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyEventLoop.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyEventLoop.kt
@@ -23,9 +23,14 @@
 import java.util.concurrent.TimeUnit
 import jdk.net.ExtendedSocketOptions
 import kotlin.random.Random
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 
 // Write buffer size at which a connection becomes unwritable because its peer does not read, and
 // the size at which it becomes writable again.
@@ -42,8 +47,11 @@
 private const val MACHINE_ID = "io.netty.machineId"
 private const val MACHINE_ID_BYTES = 8
 
-/** An event loop with one thread and its coroutine scope. */
-class NettyEventLoop {
+// Time between the failure of a task and its next run.
+private const val RESTART_MILLIS = 500L
+
+/** An event loop with one thread and its coroutine scope; [onFailure] gets the task that failed. */
+class NettyEventLoop(private val onFailure: (String, Throwable) -> Unit = { _, _ -> }) {
     init {
         val id = Random.nextBytes(MACHINE_ID_BYTES).joinToString(":") { "%02x".format(it) }
         System.setProperty(MACHINE_ID, System.getProperty(MACHINE_ID) ?: id)
@@ -61,9 +69,47 @@
     fun schedule(delayMillis: Long, action: () -> Unit): ScheduledFuture<*> =
         executor.schedule(action, maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
 
-    /** Runs [action] repeatedly on the event loop, with a delay of [periodMillis] between runs. */
-    fun scheduleRepeating(periodMillis: Long, action: () -> Unit): ScheduledFuture<*> =
-        executor.scheduleWithFixedDelay(action, periodMillis, periodMillis, TimeUnit.MILLISECONDS)
+    /**
+     * Runs [action], the task [name], repeatedly on the event loop, with a delay of [periodMillis]
+     * between runs. A run that fails does not prevent the next one.
+     */
+    fun scheduleRepeating(
+        name: String,
+        periodMillis: Long,
+        action: () -> Unit
+    ): ScheduledFuture<*> = executor.scheduleWithFixedDelay(
+        { runCatching(action).onFailure { onFailure(name, it) } },
+        periodMillis,
+        periodMillis,
+        TimeUnit.MILLISECONDS
+    )
+
+    /** Runs [action], the task [name], once as a coroutine. */
+    fun launch(name: String, action: suspend CoroutineScope.() -> Unit): Job = scope.launch {
+        runCatching { coroutineScope(action) }.onFailure { reportFailure(name, it) }
+    }
+
+    /** Runs [action] as [launch] does, and again after a delay each time that it fails. */
+    fun supervise(
+        name: String,
+        onFailed: () -> Unit = {},
+        action: suspend CoroutineScope.() -> Unit
+    ): Job = scope.launch {
+        while (runCatching { coroutineScope(action) }.isFailed(name)) {
+            onFailed()
+            delay(RESTART_MILLIS)
+        }
+    }
+
+    private fun Result<Unit>.isFailed(name: String): Boolean {
+        onFailure { reportFailure(name, it) }
+        return isFailure
+    }
+
+    private fun reportFailure(name: String, cause: Throwable) {
+        if (cause is CancellationException) throw cause
+        onFailure(name, cause)
+    }
 
     /** Listens on [address]; [initializeChannel] sets up each accepted connection. */
     fun listen(address: InetSocketAddress, initializeChannel: (Channel) -> Unit): ChannelFuture =
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/node/PlatformDaemon.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/node/PlatformDaemon.kt
@@ -32,7 +32,13 @@
     Signal.handle(Signal("HUP")) { }
     val settings = readNodeSettings(path) ?: exitProcess(EXIT_USAGE)
     val log = DecisionLog(settings.node.vm)
-    val loop = NettyEventLoop()
+    val loop = NettyEventLoop { task, cause ->
+        log.event(EventCode.TASK_FAILED) {
+            put("task", task)
+            put("cause", cause.toString())
+            put("at", cause.stackTrace.firstOrNull().toString())
+        }
+    }
     val terminated = CountDownLatch(1)
     val node: PlatformNode = when (settings.node.role) {
         NodeRole.ENTRY -> GatewayEntry(settings, loop, log)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/transport/FrameCodec.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/transport/FrameCodec.kt
@@ -11,7 +11,6 @@
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writeInt
 import java.io.IOException
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -33,14 +32,14 @@
 /** Encodes [frame] without the length prefix. */
 fun encodeFrame(frame: Frame): ByteArray = cbor.encodeToByteArray<Frame>(frame)
 
-/** Decodes a frame; throws [ProtocolException] when [bytes] are malformed. */
-fun decodeFrame(bytes: ByteArray): Frame = try {
-    cbor.decodeFromByteArray<Frame>(bytes)
-} catch (e: SerializationException) {
-    throw ProtocolException("frame is malformed (${e.message}); check the peer's version", e)
-} catch (e: IllegalArgumentException) {
-    throw ProtocolException("frame is malformed (${e.message}); check the peer's version", e)
-}
+/**
+ * Decodes a frame; throws [ProtocolException] when [bytes] are malformed, for which the library
+ * throws exceptions of many kinds.
+ */
+fun decodeFrame(bytes: ByteArray): Frame =
+    runCatching { cbor.decodeFromByteArray<Frame>(bytes) }.getOrElse {
+        throw ProtocolException("frame is malformed (${it.message}); check the peer's version", it)
+    }
 
 /** Writes [frame] without flushing. */
 suspend fun ByteWriteChannel.writeFrame(frame: Frame) {
