Answer every request before a planned stop ends

Callers saw: requests that came late in the grace period were sent on and cut without a response at its end, once-only requests among them.

Deadlines did not know the grace period, so a request whose endpoint worked past it, in the 3.2 s in which the balancer may still send new connections or later on a busy one, ended with the process. Pipelined requests that had been read were dropped after the response that announces the close. A response still in the write buffer of a slow reader was cut when its connection counted as idle.

Change: GracePeriod bounds the deadline of each request, and so the time passed to the endpoint, by the grace period less 0.7 s; at that time the caller gets 504, or 503 if the request has not been sent. A request that cannot be served in what is left (0.5 s, or two typical responses of an engine) is refused at once. Requests that have been read get their responses before the connection closes, and the process ends when all responses are written.

Evidence: PlatformEntryTest "a planned stop", four tests with the real entry: all failed on (no response, or one of three), all pass. Half-read requests are closed at the header time-out as before, which the users' rules allow.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
@@ -4,6 +4,8 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldNotContain
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import java.io.ByteArrayOutputStream
@@ -22,6 +24,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import org.toucanspur.daemon.gateway.GatewayEntry
 import org.toucanspur.daemon.log.DecisionLog
@@ -291,4 +294,89 @@
                 }
             }
         }
+        describe("a planned stop whose grace period is shorter than the requests") {
+            val request = "GET /once/late HTTP/1.1\r\nHost: h\r\nX-Attempt-Identifier: r1\r\n" +
+                "Authorization: Bearer k\r\n\r\n"
+
+            suspend fun stopping(action: suspend PlatformFixture.() -> Unit) =
+                PlatformFixture(GRACE_SECONDS).use { stopped ->
+                    stopped.entry.start()
+                    stopped.putConfiguration(1, "s1")
+                    stopped.putServer("e1", "s1", stopped.endpointOne.port)
+                    eventually(testTimeout) { stopped.call("/once/first") shouldContain "done" }
+                    stopped.endpointOne.responseLatch = CountDownLatch(1)
+                    stopped.action()
+                    stopped.endpointOne.responseLatch.countDown()
+                }
+
+            fun Socket.send(text: String) = getOutputStream().write(text.encodeToByteArray())
+
+            it("answers a once-only request that its endpoint still works on") {
+                stopping {
+                    coroutineScope {
+                        val response = async(Dispatchers.IO) { call("/once/running") }
+                        eventually(testTimeout) {
+                            endpointOne.receivedPaths shouldContain "/once/running"
+                        }
+                        entry.shutdown()
+                        response.await() shouldContain "HTTP/1.1 504"
+                    }
+                }
+            }
+            it("gives a request that comes meanwhile only the time that is left") {
+                stopping {
+                    coroutineScope {
+                        val shutdown = async { entry.shutdown() }
+                        eventually(testTimeout) { readiness() shouldContain "503" }
+                        val response = async(Dispatchers.IO) { call("/once/meanwhile") }
+                        shutdown.await()
+                        response.await() shouldContain "HTTP/1.1 504"
+                    }
+                    endpointOne.receivedDeadlines.last() shouldBeLessThan GRACE_SECONDS * 1000L
+                }
+            }
+            it("refuses a request that it reads too late, without running it") {
+                stopping {
+                    open().use { socket ->
+                        socket.send(request + request.replace("/late", "/later"))
+                        eventually(testTimeout) {
+                            endpointOne.receivedPaths shouldContain "/once/late"
+                        }
+                        coroutineScope {
+                            val shutdown = async { entry.shutdown() }
+                            delay(LATE_MILLIS)
+                            endpointOne.responseLatch.countDown()
+                            val responses = withContext(Dispatchers.IO) {
+                                socket.getInputStream().readBytes().decodeToString()
+                            }
+                            responses shouldContain "HTTP/1.1 200"
+                            responses shouldContain "HTTP/1.1 503"
+                            responses shouldContain "Retry-After"
+                            shutdown.await()
+                        }
+                    }
+                    endpointOne.receivedPaths.toList() shouldNotContain "/once/later"
+                }
+            }
+            it("answers pipelined requests that it has read") {
+                stopping {
+                    open().use { socket ->
+                        socket.send(request + request + request)
+                        eventually(testTimeout) {
+                            endpointOne.receivedPaths shouldContain "/once/late"
+                        }
+                        coroutineScope {
+                            val shutdown = async { entry.shutdown() }
+                            eventually(testTimeout) { readiness() shouldContain "503" }
+                            endpointOne.responseLatch.countDown()
+                            val responses = withContext(Dispatchers.IO) {
+                                socket.getInputStream().readBytes().decodeToString()
+                            }
+                            responses.split("HTTP/1.1 200").size - 1 shouldBe 3
+                            shutdown.await()
+                        }
+                    }
+                }
+            }
+        }
     })
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -73,8 +73,9 @@
 ) : QueuedCall,
     ExchangeListener {
     /** Time by which the caller receives a final response. */
-    val deadlineMillis: Long = request.receivedMillis +
+    var deadlineMillis: Long = request.receivedMillis +
         minOf(route.timeoutMillis, metadata.remainingMillis ?: route.timeoutMillis)
+        private set
 
     /** Endpoints to which the call was sent. */
     val tried = LinkedHashSet<EndpointId>()
@@ -178,6 +179,11 @@
     /** Whether the endpoint of the attempt has begun a stream without crashing at its begin. */
     val hasProgressed: Boolean get() = attemptEvents >= PROGRESS_EVENTS
 
+    /** Moves the deadline to [millis] if it is later. */
+    fun limitDeadline(millis: Long) {
+        deadlineMillis = minOf(deadlineMillis, millis)
+    }
+
     /** Sends the call to [target] through [newExchange], to start on [version] or any if 0. */
     fun send(
         target: FleetEndpoint,
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -15,6 +15,7 @@
 import org.toucanspur.core.gateway.EndpointSignal
 import org.toucanspur.core.gateway.EndpointStatement
 import org.toucanspur.core.gateway.FleetEndpoint
+import org.toucanspur.core.gateway.GracePeriod
 import org.toucanspur.core.gateway.Placement
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.RetryDecision
@@ -43,6 +44,7 @@
     private val queue = CallQueue<Call>(queueMax)
     private val activeCalls = LinkedHashSet<Call>()
     private val maxRemainingMillis = HashMap<String, Long>()
+    private var grace: GracePeriod? = null
 
     /** Number of requests without a final response. */
     val activeCount: Int get() = activeCalls.size
@@ -59,10 +61,19 @@
                 refuseUnadmitted(connection, metadata, admitted.refusal)
                 null
             }
-            is Admission.Admitted -> start(connection, request, metadata, admitted)
+            is Admission.Admitted -> if (canFinish(admitted)) {
+                start(connection, request, metadata, admitted)
+            } else {
+                val refusal = Refusal(UNAVAILABLE, "entry is stopping", SHORT_RETRY_MILLIS)
+                refuseUnadmitted(connection, metadata, refusal)
+                null
+            }
         }
     }
 
+    private fun canFinish(admitted: Admission.Admitted): Boolean =
+        grace?.admits(admitted.route, admitted.service, monotonicMillis()) ?: true
+
     private fun start(
         connection: CallerConnection,
         request: BufferedRequest,
@@ -83,11 +94,29 @@
         activeCalls += call
         call.isOnTime = isOnTime(call)
         state.retryAllowance(call.service.id).onRequest(monotonicMillis())
+        grace?.let { call.limitDeadline(it.endMillis) }
+        scheduleDeadline(call)
+        sendOrQueue(call)
+        return call
+    }
+
+    private fun scheduleDeadline(call: Call) {
+        call.deadlineTimer?.cancel(false)
         call.deadlineTimer = loop.schedule(call.deadlineMillis - monotonicMillis()) {
             onDeadline(call)
         }
-        sendOrQueue(call)
-        return call
+    }
+
+    /**
+     * Ends all requests within [period]. Those that arrive from now on and cannot be served in that
+     * time are refused.
+     */
+    fun beginStopping(period: GracePeriod) {
+        grace = period
+        activeCalls.forEach {
+            it.limitDeadline(period.endMillis)
+            scheduleDeadline(it)
+        }
     }
 
     // A caller that retries after a refusal sends a shorter remaining time than a first attempt.
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -71,6 +71,12 @@
     /** Whether no request is being received or processed. */
     val isIdle: Boolean get() = head == null && !isResponding
 
+    /** Whether the connection is idle and all responses are written to the socket. */
+    val isDrained: Boolean get() = isIdle && queuedMessages.isEmpty() && !hasPendingWrites
+
+    private val hasPendingWrites: Boolean
+        get() = (context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
+
     /** Whether a request has been received in part. */
     val isReading: Boolean get() = !isResponding && head != null
 
@@ -225,7 +231,8 @@
     }
 
     private fun setConnectionHeader(response: HttpResponse) {
-        if (listener.isClosing) isKeepAlive = false
+        // Requests that have been read already get their responses first.
+        if (listener.isClosing && queuedMessages.isEmpty()) isKeepAlive = false
         if (!isKeepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -15,6 +15,7 @@
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.FleetEndpoint
+import org.toucanspur.core.gateway.GracePeriod
 import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.ObjectFeed
 import org.toucanspur.core.platform.ObjectKind
@@ -156,11 +157,12 @@
         val start = monotonicMillis()
         val graceMillis = settings.bounds.graceSeconds * MILLIS_PER_SECOND
         isStopping = true
+        dispatcher.beginStopping(GracePeriod(start, graceMillis))
         server.beginClosing()
         // New connections stop only after the probe has failed twice, a second apart.
         delay(PROBE_REMOVAL_MILLIS)
         server.closeIdle()
-        while (dispatcher.activeCount > 0 &&
+        while (server.isServing &&
             monotonicMillis() - start < graceMillis - GRACE_MARGIN_MILLIS
         ) {
             delay(DRAIN_POLL_MILLIS)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -107,9 +107,12 @@
     /** Stops listening and closes idle connections. */
     fun closeIdle() {
         listener?.close()
-        connections.filter { it.isIdle }.forEach { it.close() }
+        connections.filter { it.isDrained }.forEach { it.close() }
     }
 
+    /** Whether a request is being received or processed, or a response is not yet written. */
+    val isServing: Boolean get() = connections.any { !it.isDrained }
+
     /** Number of open connections. */
     val connectionCount: Int get() = connections.size
 
