Measure what idle processes cost; fewer wake-ups and connections of agents

Cause, in part: an agent kept one idle connection to its engine, so that each call that overlapped another one opened a connection and closed the other; it woke 20 times a second to look for a load; an entry compared each load report with all endpoints.

Change: up to two idle connections an address; checks for loads wait for a new target version or a change of the engine while it has the newest version; endpoints are indexed by host. bin/measure cost starts entries and agents with the commands of deploy/system.toml and reports processor time by role, phase and kind of thread.

--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/Main.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/Main.kt
@@ -35,7 +35,8 @@
     OverloadMeasurement(),
     ConfigMeasurement(),
     TimelineMeasurement(),
-    ControlMeasurement()
+    ControlMeasurement(),
+    CostMeasurement()
 )
 
 private const val EXIT_USAGE = 2
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -333,6 +333,7 @@
 ) {
     private val endpoints = LinkedHashMap<EndpointId, FleetEndpoint>()
     private val byService = HashMap<ServiceId, MutableList<FleetEndpoint>>()
+    private val byHost = HashMap<String, MutableList<FleetEndpoint>>()
     private val unlistedSince = HashMap<EndpointId, Long>()
     private val dropped = HashMap<EndpointId, DroppedEndpoint>()
     private var storeRecoveredMillis = -1L
@@ -340,6 +341,9 @@
     /** Endpoints of [service], including those that are draining. */
     fun of(service: ServiceId): List<FleetEndpoint> = byService[service].orEmpty()
 
+    /** Endpoints whose address is on [host]. */
+    fun on(host: String): List<FleetEndpoint> = byHost[host].orEmpty()
+
     /** Returns the endpoint with [id], or null when it is unknown. */
     fun find(id: EndpointId): FleetEndpoint? = endpoints[id]
 
@@ -365,7 +369,12 @@
         unlistedSince.remove(record.id)
         val known = endpoints[record.id]
         if (known != null && known.record.service == record.service) {
+            val previousHost = known.record.host
             known.update(record, nowMillis)
+            if (previousHost != record.host) {
+                byHost[previousHost]?.remove(known)
+                addToHost(known)
+            }
             markSuperseded(known)
             return
         }
@@ -373,9 +382,14 @@
         val endpoint = recall(record, nowMillis) ?: FleetEndpoint(record, nowMillis, random)
         endpoints[record.id] = endpoint
         byService.getOrPut(record.service) { mutableListOf() } += endpoint
+        addToHost(endpoint)
         markSuperseded(endpoint)
     }
 
+    private fun addToHost(endpoint: FleetEndpoint) {
+        byHost.getOrPut(endpoint.record.host) { mutableListOf() } += endpoint
+    }
+
     // The record of an endpoint on a narrow link expires and comes back. What is known about the
     // endpoint, above all its requests in flight, still holds then.
     private fun recall(record: EndpointRecord, nowMillis: Long): FleetEndpoint? {
@@ -390,9 +404,7 @@
 
     // After a power loss, previous incarnations remain listed for a few heartbeats.
     private fun markSuperseded(added: FleetEndpoint) {
-        val sameAddress = endpoints.values.filter {
-            it.record.host == added.record.host && it.record.port == added.record.port
-        }
+        val sameAddress = on(added.record.host).filter { it.record.port == added.record.port }
         val newest = sameAddress.maxOf { it.record.startedAtMillis }
         sameAddress.forEach { it.isSuperseded = it.record.startedAtMillis < newest }
     }
@@ -429,6 +441,9 @@
         val endpoint = endpoints.remove(id) ?: return
         dropped[id] = DroppedEndpoint(endpoint, nowMillis)
         byService[endpoint.record.service]?.remove(endpoint)
+        val host = endpoint.record.host
+        byHost[host]?.remove(endpoint)
+        if (byHost[host]?.isEmpty() == true) byHost -= host
     }
 
     private class DroppedEndpoint(val endpoint: FleetEndpoint, val atMillis: Long)
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
@@ -6,6 +6,24 @@
 
 class FleetTest :
     DescribeSpec({
+        describe("the endpoints of a host") {
+            it("are those listed there now") {
+                val fleet = Fleet()
+                val first = record("e0").copy(host = "10.0.0.1")
+                val second = record("e1").copy(host = "10.0.0.1", port = 81)
+                fleet.put(first, 0)
+                fleet.put(second, 0)
+                fun on(host: String) = fleet.on(host).map { it.record.id.value }
+                on("10.0.0.1") shouldBe listOf("e0", "e1")
+                fleet.put(first.copy(host = "10.0.0.2"), 1)
+                on("10.0.0.1") shouldBe listOf("e1")
+                on("10.0.0.2") shouldBe listOf("e0")
+                fleet.remove(second.id, 2)
+                on("10.0.0.1") shouldBe emptyList()
+                fleet.put(second, 3)
+                on("10.0.0.1") shouldBe listOf("e1")
+            }
+        }
         describe("an endpoint that is no longer listed") {
             it("is removed immediately") {
                 val fleet = Fleet()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.ClockReading
@@ -100,6 +101,7 @@
     private var transfer: VersionTransfer? = null
     private var transferJob: Job? = null
     private val stagingQueue = Channel<Pair<VersionKey, Int>>(Channel.UNLIMITED)
+    private val loadChecks = Channel<Unit>(Channel.CONFLATED)
     private var report: EngineReport? = null
     private var isEngineUnreachable = false
     private var isStagedRecovered = false
@@ -184,6 +186,7 @@
             boundMillis
         }
         versions.addLast(version.version to monotonicMillis() - ageMillis)
+        loadChecks.trySend(Unit)
     }
 
     private fun newestVersion(model: ModelId): Pair<Long, Long> =
@@ -215,6 +218,7 @@
             }
         }
         report = fresh
+        if (previousVersions != fresh.loadedVersions) loadChecks.trySend(Unit)
     }
 
     private fun onEngineUnreachable(reason: String) {
@@ -226,13 +230,29 @@
 
     private suspend fun loadLoop() {
         while (true) {
+            val model = model
+            val current = report
+            if (model != null && current != null) transferAndLoad(model, current)
+            awaitLoadCheck()
+        }
+    }
+
+    // Most of the time the engine has the newest version and there is nothing to do.
+    private suspend fun awaitLoadCheck() {
+        if (!isLoading && hasNewestVersion()) {
+            withTimeoutOrNull(IDLE_LOAD_CHECK_MILLIS) { loadChecks.receive() }
+        } else {
             delay(LOAD_CHECK_MILLIS)
-            val model = model ?: continue
-            val current = report ?: continue
-            transferAndLoad(model, current)
         }
     }
 
+    private fun hasNewestVersion(): Boolean {
+        val model = model ?: return false
+        val current = report ?: return false
+        return !current.isBusy &&
+            (current.loadedVersions[model] ?: 0) >= newestVersion(model).first
+    }
+
     private suspend fun transferAndLoad(model: ModelId, current: EngineReport) {
         val (version, targetSetMillis) = newestVersion(model)
         ensureTransfer(VersionKey(model, version))
@@ -440,6 +460,7 @@
         // Lets requests in transit reach the engine, and requests that are nearly finished end.
         const val LOAD_DELAY_MILLIS = 300L
         const val LOAD_CHECK_MILLIS = 50L
+        const val IDLE_LOAD_CHECK_MILLIS = 1000L
         const val PEERS_REFRESH_MILLIS = 1000L
         const val QUERY_TIMEOUT_MILLIS = 2000L
         const val QUERY_POLL_MILLIS = 20L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
@@ -108,10 +108,7 @@
         val host = sender.address.hostAddress
         // A report applies only to the endpoint incarnation that the agent observed; a new one
         // at the same address has a different start time.
-        state.fleet.all().filter {
-            it.record.host == host &&
-                isSameInstance(it.record.startedAtMillis, frame)
-        }
+        state.fleet.on(host).filter { isSameInstance(it.record.startedAtMillis, frame) }
             .forEach { it.onReport(frame, now) }
         state.onEntryCount(frame.entries, now)
         onChanged()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -1,7 +1,7 @@
 /*
  * HTTP client on the event loop. By default each call uses a new connection, so that a connection
- * that stalls makes only one call time out. Calls that may be sent twice reuse one idle connection
- * per address, which is replaced after any failure.
+ * that stalls makes only one call time out. Calls that may be sent twice reuse idle connections;
+ * one that fails is closed.
  */
 package org.toucanspur.daemon.net
 
@@ -32,15 +32,22 @@
 // A listing of the store is about 1 MB, and so is a configuration.
 private const val RESPONSE_MAX_BYTES = 8 * 1024 * 1024
 
+// Idle connections kept for one address, for calls that are made at the same time.
+private const val IDLE_CONNECTIONS_MAX = 2
+
 // TCP retransmits a lost connection request only after a second.
 private const val CONNECT_TIMEOUT_MILLIS = 1000L
 
 /** Makes HTTP calls on [loop]; confined to its thread. */
 class NettyHttpClient(private val loop: NettyEventLoop) : HttpCaller {
-    private val idleChannels = HashMap<String, Channel>()
+    private val idleChannels = HashMap<String, ArrayDeque<Channel>>()
 
     override suspend fun call(call: HttpCall): Result<HttpReply, HttpFailure> {
-        val channel = if (call.mayReuseConnection) idleChannels.remove(call.address) else null
+        val channel = if (call.mayReuseConnection) {
+            idleChannels[call.address]?.removeLastOrNull()
+        } else {
+            null
+        }
         if (channel != null && channel.isActive) {
             val result = suspendCancellableCoroutine { PendingCall(call, it).reuse(channel) }
             if (result.isOk) return result
@@ -121,7 +128,8 @@
         }
 
         private fun keepOpen(openChannel: Channel) {
-            idleChannels.put(call.address, openChannel)?.close()
+            val idle = idleChannels.getOrPut(call.address) { ArrayDeque() }
+            if (idle.size < IDLE_CONNECTIONS_MAX) idle.addLast(openChannel) else openChannel.close()
         }
 
         private inner class ResponseHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
@@ -141,7 +149,7 @@
             }
 
             override fun channelInactive(context: ChannelHandlerContext) {
-                idleChannels.remove(call.address, context.channel())
+                idleChannels[call.address]?.remove(context.channel())
                 fail("connection closed")
             }
 
--- /dev/null
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
@@ -0,0 +1,79 @@
+package org.toucanspur.daemon.net
+
+import com.sun.net.httpserver.HttpServer
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.toucanspur.core.platform.HttpCall
+
+/** A server that records the ports from which it is called. */
+private class RecordingServer : AutoCloseable {
+    private val executor = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
+    private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
+    val callerPorts: MutableSet<Int> = ConcurrentHashMap.newKeySet()
+    val address: String get() = "127.0.0.1:${server.address.port}"
+
+    init {
+        server.executor = executor
+        server.createContext("/") { exchange ->
+            exchange.use {
+                callerPorts += exchange.remoteAddress.port
+                exchange.requestBody.readBytes()
+                val body = ByteArray(BODY_BYTES)
+                exchange.sendResponseHeaders(200, body.size.toLong())
+                exchange.responseBody.write(body)
+            }
+        }
+        server.start()
+    }
+
+    override fun close() {
+        server.stop(0)
+        executor.shutdownNow()
+    }
+
+    private companion object {
+        const val BODY_BYTES = 100
+    }
+}
+
+class NettyHttpClientTest :
+    DescribeSpec({
+        describe("calls that may reuse connections") {
+            suspend fun callAll(server: RecordingServer, calls: Int, together: Int) {
+                val loop = NettyEventLoop()
+                val client = NettyHttpClient(loop)
+                val call = HttpCall(
+                    server.address,
+                    "GET",
+                    "/a",
+                    timeoutMillis = 20_000,
+                    mayReuseConnection = true
+                )
+                withContext(loop.scope.coroutineContext) {
+                    coroutineScope {
+                        repeat(calls) { List(together) { async { client.call(call) } }.awaitAll() }
+                    }
+                }
+            }
+            it("use one connection one after the other") {
+                RecordingServer().use { server ->
+                    runBlocking { callAll(server, calls = 20, together = 1) }
+                    server.callerPorts shouldHaveSize 1
+                }
+            }
+            it("use as many connections as there are calls at the same time") {
+                RecordingServer().use { server ->
+                    runBlocking { callAll(server, calls = 20, together = 2) }
+                    server.callerPorts shouldHaveSize 2
+                }
+            }
+        }
+    })
