Keep connections whose response ends with more than a head

A trial that logged the connections of an agent: reports reuse one, but each of the 96 staged pieces that are read back comes on a connection of its own, although the engine keeps it.

Cause: ResponseHeadLimiter counted the bytes of the read that ended a response as the head of the next one. After a body of more than 16 KiB the connection failed when it was idle, after a smaller one within a second; the reuse failed and a new connection was opened.

Change: the read that ends a response is not counted.

Evidence: NettyHttpClientTest with bodies of 24,576 bytes: 20 connections for 20 calls one after the other and 40 for pairs before, 1 and 2 now. EndlessResponseTest, which guards the limiter, passes unchanged.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/ResponseHeadLimiter.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/ResponseHeadLimiter.kt
@@ -28,12 +28,15 @@
 private class ResponseHeadLimiter : ChannelInboundHandlerAdapter() {
     private var isHeadPending = true
     private var headBytes = 0
+    private var hasEnded = false
     private var timer: ScheduledFuture<*>? = null
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val readBytes = (message as ByteBuf).readableBytes()
+        hasEnded = false
         context.fireChannelRead(message)
-        if (!isHeadPending || !context.channel().isActive) return
+        // The bytes that end a response are not part of the head of the next one.
+        if (hasEnded || !isHeadPending || !context.channel().isActive) return
         headBytes += readBytes
         if (headBytes > HEAD_MAX_BYTES) {
             fail(context, "response head exceeds $HEAD_MAX_BYTES bytes")
@@ -67,6 +70,7 @@
             if (message is HttpContent && message is LastHttpContent && !isInterim) {
                 isHeadPending = true
                 headBytes = 0
+                hasEnded = true
             }
             context.fireChannelRead(message)
         }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
@@ -40,7 +40,7 @@
     }
 
     private companion object {
-        const val BODY_BYTES = 100
+        const val BODY_BYTES = 24_576
     }
 }
 
