--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -5,7 +5,9 @@
 package org.toucanspur.daemon.gateway
 
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
@@ -132,15 +134,12 @@
         }
     }
 
-    private fun decode(stored: StoredObject): EndpointRecord? =
-        decodeEndpoint(stored, state.regions::get).onSuccess {
-            state.unreadableRecords -=
-                stored.name
-        }
-            .getOrElse { fault ->
-                onUnreadable(stored, fault)
-                null
-            }
+    private fun decode(stored: StoredObject): EndpointRecord? {
+        val decoded = decodeEndpoint(stored, state.regions::get)
+        decoded.onSuccess { state.unreadableRecords -= stored.name }
+        decoded.onFailure { onUnreadable(stored, it) }
+        return decoded.get()
+    }
 
     private fun onUnreadable(stored: StoredObject, fault: RecordFault) {
         if (state.unreadableRecords.put(stored.name, fault) == fault) return
