--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -20,17 +20,23 @@
 
     /** Sends a streaming request and returns the status; 0 without a complete answer. */
     int send(String request) {
+        return send(request, "/s/open/x", "");
+    }
+
+    /** Sends a streaming request with {@code headers}, each with its line end. */
+    int send(String request, String path, String headers) {
         record.line("caller sends " + request);
-        int status = exchange(request);
+        int status = exchange(request, path, headers);
         record.line("caller gets " + status + " for " + request);
         return status;
     }
 
-    private int exchange(String request) {
+    private int exchange(String request, String path, String headers) {
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(host, port), 1000);
             socket.setSoTimeout(7000);
-            String text = "POST /s/x HTTP/1.1\r\nHost: svc\r\nX-Attempt-Identifier: " + request
+            String text = "POST " + path + " HTTP/1.1\r\nHost: svc\r\n" + headers
+                + "X-Attempt-Identifier: " + request
                 + "\r\nX-Deadline-Remaining: 6000\r\nX-Model: m\r\nX-Token-Counts: 600,30\r\n"
                 + "X-Prompt-Prefix: 5c1e07a2:40," + Integer.toHexString(request.hashCode())
                 + ":560\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
--- a/review/standin/Cluster.java
+++ b/review/standin/Cluster.java
@@ -11,6 +11,7 @@
     private final String net = "127." + (20 + ProcessHandle.current().pid() % 200);
     final Record record;
     final Store store;
+    final StoreDoor storeDoor;
     final Origin origin;
     final List<Engine> engines = new ArrayList<>();
     final List<Daemon> agents = new ArrayList<>();
@@ -26,25 +27,39 @@
             engines.add(engine);
             store.put("servers", engine.id, engine.entry());
         }
-        store.put("config", "main", configuration());
+        storeDoor = new StoreDoor(net + ".1.3", store);
+        store.put("config", "main", configuration(1, ""));
         String entryHost = net + ".3.1";
         int port = Daemon.freePorts(entryHost, 4);
         caller = new Caller(entryHost, port, record);
         entry = new Daemon("entry", entryHost, "callers = " + entryHost + ":" + port
             + "\nreadiness = " + entryHost + ":" + (port + 1) + "\npeer-port = " + (port + 2) + "\n",
-            store.address, "", directory, record);
+            storeDoor.address, "", directory, record);
         for (Engine engine : engines) {
             String host = engine.address.substring(0, engine.address.indexOf(':'));
             agents.add(new Daemon("agent", host, "peer-port = " + (port + 2) + "\n", store.address,
                 "\n[engine]\naddress = " + engine.address + "\nservice = llm\n", directory, record));
         }
+        // Ends the processes also when the case is terminated.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
     }
 
-    private String configuration() {
-        return "{\"version\":1,\"routes\":[{\"name\":\"s\",\"host\":\"svc\",\"path-prefix\":\"/s/\","
-            + "\"kind\":\"streaming\",\"timeout-ms\":6000,\"target-latency-ms\":400,"
+    private void endAll() {
+        agents.forEach(Daemon::end);
+        entry.end();
+    }
+
+    private static String route(String prefix, boolean isAnonymous) {
+        return "{\"name\":\"r-" + prefix + "\",\"host\":\"svc\",\"path-prefix\":\"/s/" + prefix
+            + "/\",\"kind\":\"streaming\",\"timeout-ms\":6000,\"target-latency-ms\":400,"
             + "\"gap-target-ms\":300,\"priority\":1,\"service\":\"llm\",\"attempts\":2,"
-            + "\"can-resume\":true,\"sticky\":true}],\"services\":[{\"name\":\"llm\","
+            + "\"can-resume\":true,\"sticky\":true,\"allow-anonymous\":" + isAnonymous + "}";
+    }
+
+    /** The operator's configuration; {@code tenants} are objects in JSON, or nothing. */
+    String configuration(int version, String tenants) {
+        return "{\"version\":" + version + ",\"routes\":[" + route("open", true) + ","
+            + route("keyed", false) + "],\"tenants\":[" + tenants + "],\"services\":[{\"name\":\"llm\","
             + "\"connection-limit\":424,\"cold-per-s\":36,\"health-check-path\":\"/health\","
             + "\"engine\":{\"slots\":16,\"step_ms\":7.4,\"per_seq_ms\":0.0387,"
             + "\"context_per_k\":0.0203,\"read_per_s\":31900,\"pairs_per_m\":0.733,\"chunk\":2048,"
@@ -52,7 +67,7 @@
             + "\"models\":[{\"name\":\"m\",\"warm-s\":0.3,\"chunks\":96,\"chunk-bytes\":24576,"
             + "\"layers\":16}]}},{\"name\":\"weights\",\"origin\":\"" + origin.address
             + "\",\"zone\":\"z\",\"link-mbps\":7.3,\"connection-limit\":48}],\"limits\":{"
-            + "\"max-header-bytes\":16384,\"max-body-bytes\":1048576,\"header-timeout-ms\":3000,"
+            + "\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,"
             + "\"idle-timeout-ms\":15000}}";
     }
 
@@ -116,13 +131,7 @@
 
     @Override
     public void close() throws IOException {
-        agents.forEach(Daemon::end);
-        entry.end();
-        String keep = System.getenv("KEEP_LOGS");
-        if (keep != null) {
-            record.line("logs are kept");
-            return;
-        }
+        endAll();
         try (Stream<Path> files = Files.list(directory)) {
             for (Path file : files.toList()) Files.delete(file);
         }
--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import java.util.function.IntConsumer;
 
 /** A model worker: staged pieces, load orders, and streams on the loaded weights. */
@@ -32,6 +33,9 @@
     /** Called before a staged piece is answered. */
     volatile IntConsumer onRead = number -> {};
 
+    /** Called with the id and the tenant of a request that runs. */
+    volatile BiConsumer<String, String> onRun = (request, tenant) -> {};
+
     /** Tokens made on weights with a fault. */
     final AtomicInteger faultyTokens = new AtomicInteger();
 
@@ -169,7 +173,10 @@
             reply(exchange, isOther ? 421 : 503, "{}");
             return;
         }
+        String tenant = headers.getFirst("X-Tenant");
+        onRun.accept(request, tenant == null ? "" : tenant);
         record.line(id + ": runs " + request + " on version " + version
+            + (tenant == null ? "" : " for tenant " + tenant)
             + (fault.isEmpty() ? "" : " with faulty pieces" + fault));
         if (!fault.isEmpty()) faultyTokens.incrementAndGet();
         running.incrementAndGet();
