--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 # disruption.
 cd "$(dirname "$0")/../.."
 export TROUBLE="${TROUBLE:-1}"
-timeout -k 5 115 java -Dsun.net.httpserver.nodelay=true -cp target/review CorruptManifest review/3
+timeout -k 5 115 java -Dsun.net.httpserver.nodelay=true -cp target/review GoneWorker review/3
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standin/Cluster.java
+++ b/review/standin/Cluster.java
@@ -59,7 +59,10 @@
     /** The operator's configuration; {@code tenants} are objects in JSON, or nothing. */
     String configuration(int version, String tenants) {
         return "{\"version\":" + version + ",\"routes\":[" + route("open", true) + ","
-            + route("keyed", false) + "],\"tenants\":[" + tenants + "],\"services\":[{\"name\":\"llm\","
+            + route("keyed", false) + ",{\"name\":\"r-desk\",\"host\":\"svc\",\"path-prefix\":"
+            + "\"/desk/\",\"kind\":\"non_idempotent\",\"timeout-ms\":600,\"target-latency-ms\":124,"
+            + "\"priority\":2,\"service\":\"desk\",\"attempts\":1,\"allow-anonymous\":true}],\"tenants\":[" + tenants + "],\"services\":[{\"name\":\"desk\",\"connection-limit\":100,"
+            + "\"cold-per-s\":0,\"health-check-path\":\"/health\"},{\"name\":\"llm\","
             + "\"connection-limit\":424,\"cold-per-s\":36,\"health-check-path\":\"/health\","
             + "\"engine\":{\"slots\":16,\"step_ms\":7.4,\"per_seq_ms\":0.0387,"
             + "\"context_per_k\":0.0203,\"read_per_s\":31900,\"pairs_per_m\":0.733,\"chunk\":2048,"
@@ -76,6 +79,13 @@
         refreshEntries();
     }
 
+    /** Starts a worker without a model and enters it in the store. */
+    PlainWorker addPlainWorker(int number) throws IOException {
+        PlainWorker worker = new PlainWorker(net + ".4." + number, "p" + number, record);
+        store.put("servers", worker.id, worker.entry());
+        return worker;
+    }
+
     void restart() throws IOException {
         for (Daemon agent : agents) agent.start();
         entry.start();
--- a/review/standin/Service.java
+++ b/review/standin/Service.java
@@ -31,6 +31,11 @@
         server.start();
     }
 
+    /** Stops listening and breaks off what is running, as the exit of a process does. */
+    void exit() {
+        server.stop(0);
+    }
+
     abstract void handle(HttpExchange exchange) throws IOException, InterruptedException;
 
     static Map<String, String> query(HttpExchange exchange) {
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -13,6 +13,7 @@
     private final Map<String, Long> revisions = new LinkedHashMap<>();
     private final List<Change> history = new ArrayList<>();
     private long revision = 1;
+    private long cuts;
 
     Store(String host) throws IOException {
         super(host);
@@ -40,10 +41,17 @@
         String kind = path(exchange).substring(path(exchange).lastIndexOf('/') + 1);
         Map<String, String> query = query(exchange);
         String watch = query.get("watch");
+        // An exchange without a reply closes its connection.
         String body = watch == null
             ? listing(kind)
             : events(kind, Long.parseLong(watch), Long.parseLong(query.getOrDefault("wait-ms", "0")));
-        reply(exchange, 200, body);
+        if (body != null) reply(exchange, 200, body);
+    }
+
+    /** Cuts off the watches that are waiting. */
+    synchronized void cutWatches() {
+        cuts++;
+        notifyAll();
     }
 
     private synchronized String listing(String kind) {
@@ -56,7 +64,9 @@
     private synchronized String events(String kind, long after, long waitMillis)
         throws InterruptedException {
         long end = System.currentTimeMillis() + waitMillis;
+        long cutsBefore = cuts;
         while (true) {
+            if (cuts > cutsBefore) return null;
             List<String> events = new ArrayList<>();
             for (Change change : history) {
                 if (change.revision <= after || !change.kind.equals(kind)) continue;
