--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,9 +1,11 @@
 #!/usr/bin/env bash
 # Exit 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves out the
-# disruption.
-cd "$(dirname "$0")/../.."
+# disruption. Needs the build of the deploy file and review/build.sh.
+cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 timeout -k 5 115 java -Dsun.net.httpserver.nodelay=true -cp target/review RevokedTenant review/2
-status=$?
-[ "$status" -le 1 ] || status=2
-exit "$status"
+case $? in
+  0) exit 0 ;;
+  10) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standin/FrozenVerification.java
+++ b/review/standin/FrozenVerification.java
@@ -1,5 +1,3 @@
-import java.nio.file.Path;
-
 /**
  * Case: an agent is stopped for some seconds while it reads back the staged pieces of a version. A
  * piece that it has read turns bad meanwhile.
@@ -11,10 +9,8 @@
 
     private FrozenVerification() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
-        Record record = new Record(Path.of(arguments[0], "record.txt"));
-        System.exit(run(isTrouble, record));
+    public static void main(String[] arguments) {
+        ReviewCase.main(arguments, FrozenVerification::run);
     }
 
     private static int run(boolean isTrouble, Record record) throws Exception {
@@ -22,7 +18,7 @@
             Engine engine = cluster.engines.get(0);
             Daemon agent = cluster.agents.get(0);
             cluster.start();
-            if (!cluster.awaitServing(15_000)) return 2;
+            if (!cluster.awaitServing(15_000)) return ReviewCase.NOT_RUN;
             Thread.sleep(4000);
             boolean[] wasFrozen = {false};
             engine.onRead = number -> {
@@ -38,9 +34,9 @@
                 cluster.caller.send("r" + i);
                 Thread.sleep(250);
             }
-            if (engine.loaded != 2 || (isTrouble && !wasFrozen[0])) return 2;
+            if (engine.loaded != 2 || (isTrouble && !wasFrozen[0])) return ReviewCase.NOT_RUN;
             record.line("requests run on faulty weights: " + engine.faultyTokens.get());
-            return engine.faultyTokens.get() > 0 ? 1 : 0;
+            return engine.faultyTokens.get() > 0 ? ReviewCase.BROKEN : ReviewCase.HELD;
         }
     }
 
--- a/review/standin/GoneWorker.java
+++ b/review/standin/GoneWorker.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -13,9 +12,8 @@
 
     private GoneWorker() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
-        System.exit(run(isTrouble, new Record(Path.of(arguments[0], "record.txt"))));
+    public static void main(String[] arguments) {
+        ReviewCase.main(arguments, GoneWorker::run);
     }
 
     private static int run(boolean isTrouble, Record record) throws Exception {
@@ -32,7 +30,7 @@
                 lateRequests.put(request, true);
             };
             cluster.start();
-            if (!cluster.awaitServing(15_000)) return 2;
+            if (!cluster.awaitServing(15_000)) return ReviewCase.NOT_RUN;
             Thread.sleep(4000);
             Thread operator = new Thread(() -> {
                 try {
@@ -55,7 +53,7 @@
             Thread.sleep(1000);
             record.line("requests that reached the worker later than 2 s after it was gone: " + late
                 + ", of which not answered with success: " + failed);
-            return late.get() > 0 ? 1 : 0;
+            return late.get() > 0 ? ReviewCase.BROKEN : ReviewCase.HELD;
         }
     }
 
--- a/review/standin/RevokedTenant.java
+++ b/review/standin/RevokedTenant.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -17,9 +16,8 @@
 
     private RevokedTenant() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
-        System.exit(run(isTrouble, new Record(Path.of(arguments[0], "record.txt"))));
+    public static void main(String[] arguments) {
+        ReviewCase.main(arguments, RevokedTenant::run);
     }
 
     private static int run(boolean isTrouble, Record record) throws Exception {
@@ -36,7 +34,7 @@
             };
             cluster.engines.forEach(engine -> engine.onRun = onRun);
             cluster.start();
-            if (!cluster.awaitServing(15_000)) return 2;
+            if (!cluster.awaitServing(15_000)) return ReviewCase.NOT_RUN;
             Thread.sleep(2000);
             long start = System.currentTimeMillis();
             if (isTrouble) {
@@ -59,8 +57,8 @@
             }
             cluster.storeDoor.isBusy = false;
             record.line("requests sent later than 5 s after that and run for the tenant: " + foreign);
-            if (served == 0) return 2;
-            return foreign.get() > 0 ? 1 : 0;
+            if (served == 0) return ReviewCase.NOT_RUN;
+            return foreign.get() > 0 ? ReviewCase.BROKEN : ReviewCase.HELD;
         }
     }
 
--- a/review/standin/StuckTransfer.java
+++ b/review/standin/StuckTransfer.java
@@ -1,5 +1,3 @@
-import java.nio.file.Path;
-
 /**
  * Case: the origin of weights is down for some seconds while it sends a version, and two newer
  * versions are named meanwhile. When it is back, it no longer serves the first one.
@@ -9,15 +7,14 @@
 
     private StuckTransfer() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
-        System.exit(run(isTrouble, new Record(Path.of(arguments[0], "record.txt"))));
+    public static void main(String[] arguments) {
+        ReviewCase.main(arguments, StuckTransfer::run);
     }
 
     private static int run(boolean isTrouble, Record record) throws Exception {
         try (Cluster cluster = new Cluster(2, record)) {
             Recovery recovery = new Recovery(cluster);
-            if (!recovery.serveAndKill()) return 2;
+            if (!recovery.serveAndKill()) return ReviewCase.NOT_RUN;
             Thread operator = new Thread(() -> {
                 try {
                     operate(isTrouble, cluster);
@@ -28,7 +25,7 @@
             operator.start();
             boolean isRecovered = recovery.isRecovered();
             cluster.engines.forEach(e -> record.line(e.id + " holds version " + e.loaded));
-            return isRecovered ? 0 : 1;
+            return isRecovered ? ReviewCase.HELD : ReviewCase.BROKEN;
         }
     }
 
