--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -38,7 +38,7 @@
             String text = "POST " + path + " HTTP/1.1\r\nHost: svc\r\n" + headers
                 + "X-Attempt-Identifier: " + request
                 + "\r\nX-Deadline-Remaining: 6000\r\nX-Model: m\r\nX-Token-Counts: 600,30\r\n"
-                + "X-Prompt-Prefix: 5c1e07a2:40," + Integer.toHexString(request.hashCode())
+                + "X-Prompt-Prefix: a1b2c3d4:40," + Integer.toHexString(request.hashCode())
                 + ":560\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
             socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
             InputStream input = new BufferedInputStream(socket.getInputStream());
--- a/review/standin/RevokedTenant.java
+++ b/review/standin/RevokedTenant.java
@@ -8,9 +8,9 @@
  * route that allows anonymous requests.
  */
 final class RevokedTenant {
-    private static final String TENANT = "bozi300";
-    private static final String KEY = "jnbanfqasnmgkcuyj8pj";
-    private static final String OTHER_KEY = "bvk9m68k7b2ex5wa5xwy";
+    private static final String TENANT = "acme";
+    private static final String KEY = "first-key";
+    private static final String OTHER_KEY = "second-key";
     private static final long AWAY_MILLIS = 9000;
     private static final long REVOCATION_MILLIS = 5000;
 
