--- a/review/standin/GoneWorker.java
+++ b/review/standin/GoneWorker.java
@@ -65,9 +65,9 @@
         cluster.store.remove("servers", leaving.id);
         goneMillis[0] = System.currentTimeMillis();
         cluster.record.line("the store acknowledges that " + leaving.id + " is gone");
-        Thread.sleep(300);
+        Thread.sleep(100);
         cut(isTrouble, cluster);
-        Thread.sleep(EXIT_MILLIS - 300);
+        Thread.sleep(EXIT_MILLIS - 100);
         leaving.exit();
         cluster.record.line(leaving.id + ": exits");
         Thread.sleep(2000);
