Send load orders only while the verification of their pieces is recent

Seen by callers: requests were served on faulty weights until the next version.

Cause: EngineLoader verified the pieces one after the other and sent the order without regard to the time since the first one was read. The engine takes the pieces as they are when it begins the order.

Change: each verification has an age by both clocks (PieceVerifications); pieces read too long ago are read again, and the age is checked immediately before the order is written, after the connection is established (HttpCall.isStillValid). The same cause on a related path: an order without a reply may be begun seconds later, while pieces of the next version are staged. Until a report settles it, nothing is staged, and only that order is sent again with the same precondition. A load that was begun late or at an unknown time is verified once more; if a piece is corrupt, entries send the endpoint no requests (E418).

Evidence: with the age limits and the unsettled order taken out, six cases of EngineLoaderTest fail, the first with "corrupt" among the loaded pieces; they pass now.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -47,6 +47,7 @@
     LOAD_REFUSED(415, "engine refused a load order"),
     ENGINE_UNRESPONSIVE(416, "engine does not respond"),
     ENGINE_RECOVERED(417, "engine responds again"),
+    LOAD_IN_DOUBT(418, "engine may have loaded a corrupt piece and gets no requests"),
     ROLLOUT_SLOT_GRANTED(420, "rollout slot granted"),
     ROLLOUT_STOPPED(421, "rollout stopped after failures"),
     REQUEST_ACCEPTED(500, "request accepted"),
--- a/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
@@ -9,7 +9,8 @@
 /**
  * A request to [address] (HOST:PORT); [target] is the path with the query. [mayReuseConnection] is
  * for calls that may safely be sent twice, as happens when the server has closed the reused
- * connection.
+ * connection. [isStillValid] is for calls that depend on an earlier check: it is evaluated
+ * immediately before the request is written, and nothing is sent once it is false.
  */
 class HttpCall(
     val address: String,
@@ -18,7 +19,8 @@
     val timeoutMillis: Long,
     val body: ByteArray? = null,
     val contentType: String? = null,
-    val mayReuseConnection: Boolean = false
+    val mayReuseConnection: Boolean = false,
+    val isStillValid: () -> Boolean = { true }
 )
 
 /** A response with its complete body. */
@@ -44,6 +46,11 @@
         override val message = "not connected ($reason)"
     }
 
+    /** The check that the call depends on became too old; nothing was sent. */
+    data object Outdated : HttpFailure {
+        override val message = "not sent (an earlier check became too old)"
+    }
+
     /** The call was sent and may have taken effect, but no response was received. */
     data class NoResponse(val reason: String) : HttpFailure {
         override val message = "no response ($reason)"
--- a/core/src/main/kotlin/org/toucanspur/core/weights/WeightPieces.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/weights/WeightPieces.kt
@@ -117,6 +117,12 @@
     /** Stages a piece and replaces any earlier content. */
     suspend fun stage(model: ModelId, index: Int, bytes: ByteArray): Result<Unit, WeightFailure>
 
-    /** Sends [order]; its policy decides whether the load waits for running requests. */
-    suspend fun load(order: LoadOrder): Result<OrderReply, WeightFailure>
+    /**
+     * Sends [order]; its policy decides whether the load waits for running requests. The order is
+     * not sent if [isStillValid] is false immediately before it would be written.
+     */
+    suspend fun load(
+        order: LoadOrder,
+        isStillValid: () -> Boolean
+    ): Result<OrderReply, WeightFailure>
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -77,7 +77,7 @@
     private val engine = EngineClient(http, settings.engine.address)
     private val self = VmId(settings.node.host)
     private val cache = PieceCache()
-    private val loader = EngineLoader(engine, cache, log)
+    private val loader = EngineLoader(engine, cache, log, systemClocks)
     private val datagrams = Datagrams(
         loop,
         InetSocketAddress(settings.node.host, settings.addresses.peerPort),
@@ -254,6 +254,7 @@
     }
 
     private suspend fun transferAndLoad(model: ModelId, current: EngineReport) {
+        loader.settleOrder()
         val (version, targetSetMillis) = newestVersion(model)
         ensureTransfer(VersionKey(model, version))
         val loaded = current.loadedVersions[model] ?: 0
@@ -285,7 +286,11 @@
         return if (areResumable) RunningRequestPolicy.CUT else RunningRequestPolicy.AWAIT
     }
 
-    private fun pushLoadReport() = loadReporter.push(report, model, isLoading, nextLoadMillis())
+    // Entries send no requests while an endpoint loads, nor to one whose weights are in doubt.
+    private fun pushLoadReport() {
+        val isInDoubt = report?.let(loader::isLoadInDoubt) ?: false
+        loadReporter.push(report, model, isLoading || isInDoubt, nextLoadMillis())
+    }
 
     private fun nextLoadMillis(): Long {
         val model = model ?: return NO_LOAD
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -105,6 +105,10 @@
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length)
                 call.contentType?.let { request.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
             }
+            if (!call.isStillValid()) {
+                finish(Err(HttpFailure.Outdated))
+                return
+            }
             isSent = true
             // A write that fails closes the channel, which ends a response without a length.
             channel?.writeAndFlush(request)?.addListener {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
@@ -1,8 +1,11 @@
 package org.toucanspur.daemon.net
 
+import com.github.michaelbull.result.getError
 import com.sun.net.httpserver.HttpServer
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
@@ -11,7 +14,9 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.yield
 import org.toucanspur.core.platform.HttpCall
+import org.toucanspur.core.platform.HttpFailure
 
 /** A server that records the ports from which it is called. */
 private class RecordingServer : AutoCloseable {
@@ -46,6 +51,32 @@
 
 class NettyHttpClientTest :
     DescribeSpec({
+        // Guards against acting on an outdated check when the process stops while it connects.
+        describe("a call that depends on an earlier check") {
+            it("is not sent when the check became too old while connecting") {
+                RecordingServer().use { server ->
+                    val loop = NettyEventLoop()
+                    var isOutdated = false
+                    val call = HttpCall(
+                        server.address,
+                        "POST",
+                        "/a",
+                        timeoutMillis = 20_000,
+                        isStillValid = { !isOutdated }
+                    )
+                    val result = runBlocking {
+                        withContext(loop.scope.coroutineContext) {
+                            val pending = async { NettyHttpClient(loop).call(call) }
+                            yield()
+                            isOutdated = true
+                            pending.await()
+                        }
+                    }
+                    result.getError() shouldBe HttpFailure.Outdated
+                    server.callerPorts.shouldBeEmpty()
+                }
+            }
+        }
         describe("calls that may reuse connections") {
             suspend fun callAll(server: RecordingServer, calls: Int, together: Int) {
                 val loop = NettyEventLoop()
