Tell a watch that was cut off from an outage of the store

Seen by callers: requests reached an endpoint up to 2.6 s after its record was removed, and at-most-once requests were cut in their run (502).

Cause: the watch of the configuration took each failed call for an outage that lasted until the next call had waited for its second. Each end kept removed endpoints in use for 2 s more, as if their records had expired, whatever the length of the outage; only the watch of the endpoints looked at that.

Change: the first call after a failure does not wait, so an outage ends with the first answer. A call that ended late counts as silence from its start. The fleet gets the length of the outage and ignores one in which no record can have expired.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -359,9 +359,12 @@
     /** All endpoints. */
     fun all(): Collection<FleetEndpoint> = endpoints.values
 
-    /** Records that the store is available again after an outage. */
-    fun onStoreRecovered(nowMillis: Long) {
-        storeRecoveredMillis = nowMillis
+    /**
+     * Records that the store is available again after [outageMillis]. A shorter outage than the
+     * expiry of an endpoint record removes none, so that it does not keep any endpoint in use.
+     */
+    fun onStoreRecovered(outageMillis: Long, nowMillis: Long) {
+        if (outageMillis > RECORD_EXPIRY_MILLIS) storeRecoveredMillis = nowMillis
     }
 
     /** Adds or updates a listed endpoint. */
@@ -451,6 +454,9 @@
     private companion object {
         const val DROPPED_KEPT_MILLIS = 30_000L
 
+        // Endpoint records expire after three missed heartbeats.
+        const val RECORD_EXPIRY_MILLIS = 500L
+
         // Listings that expired during a store outage are renewed within about two seconds.
         const val UNLISTED_GRACE_MILLIS = 2000L
     }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
@@ -34,7 +34,7 @@
             it("is removed only after the grace period shortly after a store outage") {
                 val fleet = Fleet(unlistedGraceMillis = 2000)
                 fleet.put(record("e1"), 0)
-                fleet.onStoreRecovered(1000)
+                fleet.onStoreRecovered(outageMillis = 5000, nowMillis = 1000)
                 fleet.replaceAll(emptyList(), 1100)
                 fleet.of(writers).size shouldBe 1
                 fleet.expire(2900)
@@ -42,10 +42,26 @@
                 fleet.expire(3000) shouldBe listOf(EndpointId("e1"))
                 fleet.of(writers).size shouldBe 0
             }
+            // Guards against sending to an endpoint that has left because a watch was cut off.
+            it("is removed immediately after an interruption in which no record expires") {
+                val fleet = Fleet(unlistedGraceMillis = 2000)
+                fleet.put(record("e1"), 0)
+                fleet.onStoreRecovered(outageMillis = 200, nowMillis = 1000)
+                fleet.remove(EndpointId("e1"), 1100)
+                fleet.of(writers) shouldBe emptyList()
+            }
+            it("is not kept longer by interruptions in which no record expires") {
+                val fleet = Fleet(unlistedGraceMillis = 2000)
+                fleet.put(record("e1"), 0)
+                fleet.onStoreRecovered(outageMillis = 5000, nowMillis = 1000)
+                fleet.remove(EndpointId("e1"), 1100)
+                fleet.onStoreRecovered(outageMillis = 200, nowMillis = 2900)
+                fleet.expire(3000) shouldBe listOf(EndpointId("e1"))
+            }
             it("is kept when it is listed again within the grace period") {
                 val fleet = Fleet(unlistedGraceMillis = 2000)
                 fleet.put(record("e1"), 0)
-                fleet.onStoreRecovered(1000)
+                fleet.onStoreRecovered(outageMillis = 5000, nowMillis = 1000)
                 fleet.remove(EndpointId("e1"), 1100)
                 fleet.put(record("e1"), 1500)
                 fleet.expire(5000) shouldBe emptyList()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -68,7 +68,7 @@
 
     override fun start() {
         pauses.start(loop)
-        val configuration = ConfigurationListener(state, log, ::restartWatches)
+        val configuration = ConfigurationListener(state, log, ::onStoreAvailable)
         startWatch(ObjectKind.CONFIGURATION, CONFIGURATION_WATCH_MILLIS, configuration)
         startLongPollWatches()
         server.start(socketAddress(settings.addresses.callers))
@@ -131,8 +131,8 @@
 
     // A watch whose connection an outage has stalled would fail only at the end of its wait, so
     // these watches are restarted once the store responds again.
-    private fun restartWatches() {
-        state.fleet.onStoreRecovered(monotonicMillis())
+    private fun onStoreAvailable(outageMillis: Long) {
+        state.fleet.onStoreRecovered(outageMillis, monotonicMillis())
         watches.forEach { it.cancel() }
         watches.clear()
         startLongPollWatches()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -2,6 +2,9 @@
  * Watches one kind of object in the platform's store: lists the objects, then watches for changes
  * from the revision of the listing. If the store no longer has the history, the objects are listed
  * again; if the store is unavailable, the watch continues from the last revision after a backoff.
+ *
+ * The store may cut off a watch that waits, which is no outage. The first call after a failure
+ * therefore does not wait, and shows whether the store responds.
  */
 package org.toucanspur.daemon.gateway
 
@@ -63,11 +66,22 @@
         while (true) {
             val afterRevision = revision
             val start = clocks.now()
-            val failure = if (afterRevision == null) list() else watch(afterRevision)
-            if (failure == null) onSuccess() else onFailure(failure, start)
+            val callWaitMillis = callWaitMillis()
+            val failure = if (afterRevision == null) {
+                list()
+            } else {
+                watch(afterRevision, callWaitMillis)
+            }
+            if (failure == null) onSuccess() else onFailure(failure, start, callWaitMillis)
         }
     }
 
+    private fun callWaitMillis(): Long = when {
+        revision == null -> 0
+        outageStartMillis == null -> waitMillis
+        else -> CHECK_WAIT_MILLIS
+    }
+
     private suspend fun list(): FeedFailure? {
         val at = clocks.now()
         val listing = feed.list(kind).getOrElse { return it }
@@ -77,7 +91,7 @@
         return null
     }
 
-    private suspend fun watch(afterRevision: Long): FeedFailure? {
+    private suspend fun watch(afterRevision: Long, waitMillis: Long): FeedFailure? {
         val at = clocks.now()
         // Limits the whole call by this VM's own clock too, which may have been paused.
         val result = withTimeoutOrNull(waitMillis + WATCH_TIMEOUT_MARGIN_MILLIS) {
@@ -89,7 +103,7 @@
             listener.onChanges(changes.changes, progress.unseenSince(at, clocks.now()))
         }
         revision = maxOf(afterRevision, changes.storeRevision)
-        onUpToDate(if (hasChanges) at else confirmedAt(at))
+        onUpToDate(if (hasChanges) at else confirmedAt(at, waitMillis))
         if (hasChanges) delay(batchDelayMillis)
         return null
     }
@@ -101,7 +115,7 @@
 
     // A watch without changes lasts for its whole wait; if it ends earlier, the store ended it and
     // only the time of its start is confirmed.
-    private fun confirmedAt(start: ClockReading): ClockReading {
+    private fun confirmedAt(start: ClockReading, waitMillis: Long): ClockReading {
         val end = ClockReading(start.monotonicMillis + waitMillis, start.wallMillis + waitMillis)
         return if (clocks.now().monotonicMillis >= end.monotonicMillis) end else start
     }
@@ -113,14 +127,18 @@
         listener.onStoreAvailable(clocks.now().monotonicMillis - outageStart)
     }
 
-    private suspend fun onFailure(failure: FeedFailure, start: ClockReading) {
+    private suspend fun onFailure(failure: FeedFailure, start: ClockReading, callWaitMillis: Long) {
         if (failure == FeedFailure.HistoryGone) {
             revision = null
             return
         }
-        progress.onFailure(start, clocks.now())
+        val now = clocks.now()
+        progress.onFailure(start, now)
         if (outageStartMillis == null) {
-            outageStartMillis = clocks.now().monotonicMillis
+            // A call that ended late was not cut off: the store may have been silent all the time.
+            val dueMillis = start.monotonicMillis + callWaitMillis + RESPONSE_MAX_MILLIS
+            val isSilent = now.monotonicMillis > dueMillis
+            outageStartMillis = (if (isSilent) start else now).monotonicMillis
             listener.onStoreUnavailable(failure.message)
         }
         delay(backoffMillis / 2 + random.nextLong(backoffMillis))
@@ -131,5 +149,9 @@
         const val BACKOFF_MIN_MILLIS = 100L
         const val BACKOFF_MAX_MILLIS = 800L
         const val WATCH_TIMEOUT_MARGIN_MILLIS = 1000L
+        const val CHECK_WAIT_MILLIS = 1L
+
+        // Time that a slow store takes to respond.
+        const val RESPONSE_MAX_MILLIS = 300L
     }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -47,7 +47,7 @@
 class ConfigurationListener(
     private val state: GatewayState,
     log: DecisionLog,
-    private val restartWatches: () -> Unit
+    private val onStoreAvailableAgain: (outageMillis: Long) -> Unit
 ) : LoggingWatchListener(ObjectKind.CONFIGURATION, log) {
     override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) =
         objects.forEach(::adopt)
@@ -59,7 +59,7 @@
 
     override fun onStoreAvailable(outageMillis: Long) {
         super.onStoreAvailable(outageMillis)
-        restartWatches()
+        onStoreAvailableAgain(outageMillis)
     }
 
     private fun adopt(stored: StoredObject) {
@@ -103,7 +103,7 @@
 
     override fun onStoreAvailable(outageMillis: Long) {
         super.onStoreAvailable(outageMillis)
-        if (outageMillis > RECORD_EXPIRY_MILLIS) state.fleet.onStoreRecovered(monotonicMillis())
+        state.fleet.onStoreRecovered(outageMillis, monotonicMillis())
     }
 
     private fun remove(name: String) {
@@ -149,11 +149,6 @@
             put("reason", fault.message)
         }
     }
-
-    private companion object {
-        // Endpoint records expire after three missed heartbeats, so a shorter outage removes none.
-        const val RECORD_EXPIRY_MILLIS = 500L
-    }
 }
 
 /** Maintains the set of evacuated availability zones. */
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -4,6 +4,8 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlin.random.Random
 import kotlinx.coroutines.awaitCancellation
@@ -31,6 +33,7 @@
     ObjectFeed {
     private val steps = ArrayDeque(steps.toList())
     val calls = mutableListOf<String>()
+    val waitsMillis = mutableListOf<Long>()
 
     override suspend fun list(
         kind: ObjectKind,
@@ -46,6 +49,7 @@
         waitMillis: Long
     ): Result<ObjectChanges, FeedFailure> {
         calls += "watch $afterRevision"
+        waitsMillis += waitMillis
         return (if (steps.size > 1) steps.removeFirst() else steps.first())()
     }
 }
@@ -72,7 +76,10 @@
         callbacks += "lost $reason"
     }
 
+    val outagesMillis = mutableListOf<Long>()
+
     override fun onStoreAvailable(outageMillis: Long) {
+        outagesMillis += outageMillis
         callbacks += "regained"
     }
 }
@@ -151,6 +158,35 @@
                     feed.calls.last() shouldBe "watch 6"
                 }
             }
+            // Guards against counting the wait of the next call as an outage: endpoints that are
+            // removed meanwhile were kept in use as if their records had expired.
+            it(
+                "ends the outage of a watch that was cut off with the next call, which does not wait"
+            ) {
+                runTest {
+                    val cutOff: suspend () -> Result<ObjectChanges, FeedFailure> = {
+                        delay(300)
+                        Err(FeedFailure.Unavailable("connection closed"))
+                    }
+                    val prompt: suspend () -> Result<ObjectChanges, FeedFailure> =
+                        { Ok(ObjectChanges(emptyList(), 5)) }
+                    val feed = ScriptedFeed(cutOff, prompt, unchanged)
+                    val listener = runWatcher(feed, millis = 3000)
+                    feed.waitsMillis.take(3) shouldBe listOf(WAIT_MILLIS, 1, WAIT_MILLIS)
+                    listener.outagesMillis.single() shouldBeLessThan 200
+                }
+            }
+            it("counts the silence of the store as part of an outage") {
+                runTest {
+                    val silent: suspend () -> Result<ObjectChanges, FeedFailure> =
+                        { awaitCancellation() }
+                    val prompt: suspend () -> Result<ObjectChanges, FeedFailure> =
+                        { Ok(ObjectChanges(emptyList(), 5)) }
+                    val listener =
+                        runWatcher(ScriptedFeed(silent, prompt, unchanged), millis = 3000)
+                    listener.outagesMillis.single() shouldBeGreaterThan 2000
+                }
+            }
             it("dates a change on a working connection to its arrival") {
                 runTest {
                     val later: suspend () -> Result<ObjectChanges, FeedFailure> = {
