Decide on no key by a configuration that may be out of date

Cause: CallAdmission looked the organisation of a key up in a configuration of any age, and asked for its age only where the route requires a key.

Change: one rule, checkApiKey. A configuration that is not known to be the newest decides on no key, on any route: a request with a key gets 503 with a time to come back, one without a key is served with anonymous access as before. On a related path, a request that waits, or that an endpoint turned away, was sent with the organisation of its admission; the key is checked again before each send, until an endpoint may have begun the request.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallAdmission.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallAdmission.kt
@@ -5,10 +5,12 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames
 import org.toucanspur.core.gateway.CallerRequestMetadata
+import org.toucanspur.core.gateway.KeyDecision
 import org.toucanspur.core.gateway.Organisation
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
+import org.toucanspur.core.gateway.checkApiKey
 
 /** Result of the admission check of a request. */
 sealed interface Admission {
@@ -34,16 +36,34 @@
         val host = request.head.headers().get(HttpHeaderNames.HOST).orEmpty()
         val route = configuration.route(host, request.head.uri())
             ?: return refuse(NOT_FOUND, "no route")
-        val organisation = metadata.key?.let(configuration::organisationOf)
-        if (configuration.requiresApiKey && !route.isAnonymousAllowed) {
-            if (!state.freshness.isFresh(systemClocks.now())) {
-                return refuse(UNAVAILABLE, "keys cannot be checked", FRESHNESS_RETRY_MILLIS)
-            }
-            if (organisation == null) return refuse(UNAUTHORIZED, "unknown key")
-        }
+        val decision = checkKey(configuration, route, metadata.key)
+        if (decision !is KeyDecision.Accepted) return Admission.Refused(refusalOf(decision))
         val service = chooseService(configuration, route)
             ?: return refuse(UNAVAILABLE, "no service", FRESHNESS_RETRY_MILLIS)
-        return Admission.Admitted(route, service, organisation)
+        return Admission.Admitted(route, service, decision.organisation)
+    }
+
+    /**
+     * Checks again whether [call] may act for its organisation, since its key may have been taken
+     * away after its admission. Returns the refusal if it may not.
+     */
+    fun keyRefusal(call: Call): Refusal? {
+        val configuration = state.configuration ?: return null
+        val decision = checkKey(configuration, call.route, call.metadata.key)
+        return when {
+            decision !is KeyDecision.Accepted -> refusalOf(decision)
+            decision.organisation?.id == call.organisation?.id -> null
+            else -> Refusal(UNAVAILABLE, "key has changed", STARTUP_RETRY_MILLIS)
+        }
+    }
+
+    private fun checkKey(configuration: TrafficConfiguration, route: TrafficRoute, key: String?) =
+        checkApiKey(configuration, route, key, state.freshness.isFresh(systemClocks.now()))
+
+    private fun refusalOf(decision: KeyDecision): Refusal = if (decision == KeyDecision.Unknown) {
+        Refusal(UNAUTHORIZED, "unknown key", null)
+    } else {
+        Refusal(UNAVAILABLE, "keys cannot be checked", FRESHNESS_RETRY_MILLIS)
     }
 
     private fun refuse(status: Int, reason: String, retryAfterMillis: Long? = null): Admission =
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -166,7 +166,7 @@
 
     private fun send(call: Call, placement: Placement.Send) {
         val now = monotonicMillis()
-        crashes.refusal(call, now)?.let {
+        refusalBeforeSend(call, now)?.let {
             refuse(call, it)
             return
         }
@@ -213,6 +213,12 @@
         call.send(endpoint, exchange, CONNECT_TIMEOUT_MILLIS, versionMin)
     }
 
+    private fun refusalBeforeSend(call: Call, nowMillis: Long): Refusal? {
+        // What an endpoint may have begun for the organisation is completed for it.
+        val keyRefusal = if (call.mayHaveExecuted) null else admission.keyRefusal(call)
+        return keyRefusal ?: crashes.refusal(call, nowMillis)
+    }
+
     private fun refuseUnplaced(call: Call, placement: Placement) {
         val reason = if (placement is Placement.Busy) {
             "all endpoints are busy"
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -79,6 +79,48 @@
                     .shouldContain("400")
             }
         }
+        // Guards against acting for the organisation of a key that was taken away.
+        describe("a request on a route with anonymous access") {
+            it("is refused without being executed while its key cannot be checked") {
+                val first = endpoint { request, socket -> socket.respond(request, "fine") }
+                val response = TestGateway(listOf(first.port), isFresh = false).call("/open/")
+                response shouldContain "503"
+                response shouldContain "Retry-After"
+                first.received.shouldBeEmpty()
+            }
+            it("is executed without a key while keys cannot be checked") {
+                val first = endpoint { request, socket -> socket.respond(request, "fine") }
+                TestGateway(listOf(first.port), isFresh = false)
+                    .call("/open/", key = null) shouldContain "fine"
+                first.received.single().headers["organisation"] shouldBe null
+            }
+            it("is executed for no organisation when its key was taken away") {
+                val first = endpoint { request, socket -> socket.respond(request, "fine") }
+                val gateway = TestGateway(listOf(first.port))
+                gateway.setKeys(emptySet())
+                gateway.call("/open/") shouldContain "fine"
+                first.received.single().headers["organisation"] shouldBe null
+            }
+        }
+        describe("a request whose key is taken away after its admission") {
+            it("is not sent to another endpoint when the first one did not execute it") {
+                val toRefuse = CountDownLatch(1)
+                val hasArrived = CountDownLatch(1)
+                val refusing = { request: ReceivedRequest, socket: Socket ->
+                    hasArrived.countDown()
+                    toRefuse.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
+                    socket.respond(request, "", "503 Full", "Not-Run: 1\r\n")
+                }
+                val endpoints = List(2) { endpoint(refusing) }
+                val gateway = TestGateway(endpoints.map { it.port })
+                val response = CompletableFuture.supplyAsync { gateway.call("/once/") }
+                hasArrived.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS) shouldBe true
+                gateway.setKeys(emptySet())
+                toRefuse.countDown()
+                response.get() shouldContain "401"
+                endpoints.sumOf { it.received.size } shouldBe 1
+            }
+        }
         describe("an at-most-once request") {
             it("is not retried when its response is lost, and is not reported as not executed") {
                 val first = endpoint { _, _ -> }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -60,7 +60,8 @@
     kind: CallKind,
     targetMillis: Long,
     isResumable: Boolean = false,
-    target: ServiceId = service
+    target: ServiceId = service,
+    isAnonymousAllowed: Boolean = false
 ) = TrafficRoute(
     name = path,
     host = "h",
@@ -72,7 +73,7 @@
     eventGapTargetMillis = targetMillis,
     priority = 0,
     endpointsMax = 2,
-    isAnonymousAllowed = false,
+    isAnonymousAllowed = isAnonymousAllowed,
     isResumable = isResumable,
     homeRegions = emptySet()
 )
@@ -128,11 +129,12 @@
 
     private fun onLoop(action: () -> Unit) = loop.executor.submit(action).get()
 
-    private fun configuration() = TrafficConfiguration(
+    private fun configuration(keys: Set<String> = setOf("k")) = TrafficConfiguration(
         1,
         listOf(
             route("/idempotent/", CallKind.IDEMPOTENT, targetMillis),
             route("/once/", CallKind.AT_MOST_ONCE, targetMillis),
+            route("/open/", CallKind.AT_MOST_ONCE, targetMillis, isAnonymousAllowed = true),
             route("/stream/", CallKind.STREAM, targetMillis, isResumable = true),
             route("/engine/", CallKind.STREAM, targetMillis, isResumable = true, engineService)
         ),
@@ -141,9 +143,12 @@
             TrafficService(engineService, "/health", 100, 0.0, testEngine, emptyList(), null)
         ).associateBy { it.id },
         CallerLimits(16_384, bodyMaxBytes, 3000, 15_000),
-        listOf(Organisation(OrganisationId("acme"), setOf("k"), null, emptySet()))
+        listOf(Organisation(OrganisationId("acme"), keys, null, emptySet()))
     )
 
+    /** Applies a configuration in which the organisation has the API [keys]. */
+    fun setKeys(keys: Set<String>) = onLoop { state.configuration = configuration(keys) }
+
     private fun record(
         index: Int,
         port: Int,
@@ -200,13 +205,14 @@
     /** Sends a request and returns everything received until the connection closes. */
     fun call(
         path: String,
-        key: String = "k",
+        key: String? = "k",
         extraHeaders: String = "",
         body: String = "hello"
     ): String = Socket("127.0.0.1", port).use { socket ->
         socket.soTimeout = CALL_SECONDS * 1000
         socket.send(
-            "POST $path HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: $key\r\n$extraHeaders" +
+            "POST $path HTTP/1.1\r\nHost: h\r\nId: r1\r\n" +
+                key?.let { "Key: $it\r\n" }.orEmpty() + extraHeaders +
                 "Connection: close\r\nContent-Length: ${body.length}\r\n\r\n$body"
         )
         socket.getInputStream().readBytes().decodeToString()
