Limit the memory of all incomplete responses together

Seen by callers: an entry answered nobody any more.

Cause: each response has a limit (128 KiB of a body, 1 MiB of an event), but their sum had none.

Change: responses that cannot be relayed yet share an eighth of the heap (ResponseMemory). When it is used up, the call with the largest buffer gives it up: a sealed body is relayed from there on, anything else is a broken response.

--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakProcess.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakProcess.kt
@@ -29,6 +29,7 @@
             java,
             "-Xmx160m",
             "-Xss256k",
+            "-XX:+ExitOnOutOfMemoryError",
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1",
             "-cp",
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/EventStreamSplitter.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/EventStreamSplitter.kt
@@ -18,6 +18,9 @@
     /** Number of buffered bytes of an incomplete event. */
     val pendingBytes: Int get() = size
 
+    /** Size of the buffer. */
+    val capacityBytes: Int get() = pending.size
+
     /** Whether an event has begun and not ended; blank lines between events begin none. */
     val isInsideEvent: Boolean get() = hasContent
 
--- a/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
@@ -10,7 +10,8 @@
  * A request to [address] (HOST:PORT); [target] is the path with the query. [mayReuseConnection] is
  * for calls that may safely be sent twice, as happens when the server has closed the reused
  * connection. [isStillValid] is for calls that depend on an earlier check: it is evaluated
- * immediately before the request is written, and nothing is sent once it is false.
+ * immediately before the request is written, and nothing is sent once it is false. A response with
+ * a body of more than [responseMaxBytes] is a failure.
  */
 class HttpCall(
     val address: String,
@@ -20,8 +21,14 @@
     val body: ByteArray? = null,
     val contentType: String? = null,
     val mayReuseConnection: Boolean = false,
-    val isStillValid: () -> Boolean = { true }
-)
+    val isStillValid: () -> Boolean = { true },
+    val responseMaxBytes: Int = RESPONSE_MAX_BYTES
+) {
+    private companion object {
+        // A listing of the store is about 1 MB, and so is a configuration.
+        const val RESPONSE_MAX_BYTES = 8 * 1024 * 1024
+    }
+}
 
 /** A response with its complete body. */
 class HttpReply(val status: Int, val body: ByteArray) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -53,6 +53,9 @@
     /** Called when the outcome of an attempt gives an [observation] about [endpoint]. */
     fun onEndpointObservation(call: Call, endpoint: FleetEndpoint, observation: EndpointSignal)
 
+    /** Called when [call] buffers [bytes] of a response that cannot be relayed yet. */
+    fun onBuffered(call: Call, bytes: Int)
+
     /** Called when the call no longer occupies capacity at its endpoint. */
     fun onCapacityFreed(call: Call)
 
@@ -227,6 +230,7 @@
 
     private fun releaseEndpoint() {
         exchange = null
+        delegate.onBuffered(this, 0)
         endpoint?.let {
             it.onEnd()
             delegate.onCapacityFreed(this)
@@ -234,6 +238,15 @@
         endpoint = null
     }
 
+    /** Gives up the buffered part of the response, because memory is short. */
+    fun releaseBuffer() {
+        if (eventSplitter == null && isSealed) {
+            relayBuffer()
+        } else {
+            onBrokenResponse("no memory for an incomplete response")
+        }
+    }
+
     /** Ends the call without writing anything more to the caller. */
     fun cancel() {
         if (isFinished) return
@@ -361,6 +374,8 @@
         lastProgressMillis = monotonicMillis()
         val events = eventSplitter
         if (events == null) bufferOrRelay(bytes) else relayEvents(events, bytes)
+        if (exchange !== this.exchange) return
+        delegate.onBuffered(this, events?.capacityBytes ?: bufferedBody.size())
     }
 
     private fun relayEvents(events: EventStreamSplitter, bytes: ByteArray) {
@@ -388,8 +403,14 @@
             onBrokenResponse("response without a seal is too long")
             return
         }
+        relayBuffer()
+    }
+
+    private fun relayBuffer() {
         commit()
         connection.writeChunk(bufferedBody.toByteArray())
+        bufferedBody = ByteArrayOutputStream(0)
+        delegate.onBuffered(this, 0)
     }
 
     private fun commit() {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -18,6 +18,7 @@
 import org.toucanspur.core.gateway.GracePeriod
 import org.toucanspur.core.gateway.Placement
 import org.toucanspur.core.gateway.RequestCodec
+import org.toucanspur.core.gateway.ResponseMemory
 import org.toucanspur.core.gateway.RetryDecision
 import org.toucanspur.core.gateway.WaitPolicy
 import org.toucanspur.core.gateway.decideRetry
@@ -34,7 +35,8 @@
     override val codec: RequestCodec,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
-    queueMax: Int = QUEUE_MAX
+    queueMax: Int = QUEUE_MAX,
+    responseMemoryBytes: Long = Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_SHARE
 ) : CallDelegate {
     private val admission = CallAdmission(state)
     private val versions = CallVersions(state, log, metrics)
@@ -42,6 +44,7 @@
     private val statements = EndpointStatements(log)
     override val crashes = CrashObserver(state, log, metrics)
     private val queue = CallQueue<Call>(queueMax)
+    private val responseMemory = ResponseMemory<Call>(responseMemoryBytes)
     private val activeCalls = LinkedHashSet<Call>()
     private val maxRemainingMillis = HashMap<String, Long>()
     private var grace: GracePeriod? = null
@@ -49,6 +52,9 @@
     /** Number of requests without a final response. */
     val activeCount: Int get() = activeCalls.size
 
+    /** Bytes of responses that cannot be relayed yet. */
+    val bufferedBytes: Long get() = responseMemory.totalBytes
+
     init {
         loop.scheduleRepeating("dispatch", TICK_MILLIS, ::tick)
     }
@@ -350,6 +356,10 @@
         endpoint.onSignal(observation, now)
     }
 
+    override fun onBuffered(call: Call, bytes: Int) {
+        responseMemory.update(call, bytes)?.releaseBuffer()
+    }
+
     override fun onCapacityFreed(call: Call) {
         if (queue.size > 0) loop.executor.execute(::drainQueue)
     }
@@ -452,6 +462,8 @@
         state.retryAllowance(call.service.id).tryAcquire(nowMillis, state.entryCount(nowMillis))
 
     private companion object {
+        // Part of the heap for responses that cannot be relayed yet; 20 MiB in the deployment.
+        const val RESPONSE_MEMORY_SHARE = 8
         const val BAD_GATEWAY = 502
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -77,6 +77,9 @@
         val metrics = InetSocketAddress(settings.node.host, settings.addresses.peerPort + 1)
         ProbeServer(loop, mapOf("/metrics" to registry::scrape)).start(metrics)
         registry.gauge("toucanspur.requests.active", dispatcher) { it.activeCount.toDouble() }
+        registry.gauge("toucanspur.responses.buffered.bytes", dispatcher) {
+            it.bufferedBytes.toDouble()
+        }
         registry.gauge("toucanspur.callers.connections", server) { it.connectionCount.toDouble() }
         registry.gauge("toucanspur.fingerprints.refused", state) {
             it.crashSuspects.refusedCount.toDouble()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -29,9 +29,6 @@
 import org.toucanspur.core.platform.HttpFailure
 import org.toucanspur.core.platform.HttpReply
 
-// A listing of the store is about 1 MB, and so is a configuration.
-private const val RESPONSE_MAX_BYTES = 8 * 1024 * 1024
-
 // Idle connections kept for one address, for calls that are made at the same time.
 private const val IDLE_CONNECTIONS_MAX = 2
 
@@ -73,7 +70,7 @@
             val future = loop.connect(socketAddress(call.address), connectMillis) {
                 it.pipeline().addResponseDecoder()
                 it.pipeline().addLast(
-                    HttpObjectAggregator(RESPONSE_MAX_BYTES),
+                    HttpObjectAggregator(call.responseMaxBytes),
                     ResponseHandler()
                 )
             }
@@ -83,6 +80,8 @@
 
         fun reuse(openChannel: Channel) {
             channel = openChannel
+            val aggregator = HttpObjectAggregator(call.responseMaxBytes)
+            openChannel.pipeline().replace(HttpObjectAggregator::class.java, null, aggregator)
             openChannel.pipeline().replace(ResponseHandler::class.java, null, ResponseHandler())
             send()
         }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
@@ -77,6 +77,32 @@
                 }
             }
         }
+        // Guards against keeping a response without end in memory.
+        describe("a response that is larger than its call allows") {
+            it("is a failure, on a new connection and on a reused one") {
+                RecordingServer().use { server ->
+                    val loop = NettyEventLoop()
+                    val client = NettyHttpClient(loop)
+                    fun call(maxBytes: Int) = runBlocking {
+                        withContext(loop.scope.coroutineContext) {
+                            client.call(
+                                HttpCall(
+                                    server.address,
+                                    "GET",
+                                    "/a",
+                                    timeoutMillis = 20_000,
+                                    mayReuseConnection = true,
+                                    responseMaxBytes = maxBytes
+                                )
+                            )
+                        }
+                    }
+                    call(maxBytes = 1000).isErr shouldBe true
+                    call(maxBytes = 100_000).isOk shouldBe true
+                    call(maxBytes = 1000).isErr shouldBe true
+                }
+            }
+        }
         describe("calls that may reuse connections") {
             suspend fun callAll(server: RecordingServer, calls: Int, together: Int) {
                 val loop = NettyEventLoop()
