Do not take a caller that reads slowly for a silent endpoint

Seen by callers: a stream that is read slowly is taken from its endpoint, runs a second time at another one, and ends early if none can go on with it.

Cause: while the write buffer of a caller is full, nothing is read from the endpoint, and the check for silent endpoints counted that time. The next attempt read without regard to the caller, so that its events were buffered without limit.

Change: the check passes over calls whose caller does not read; silence counts from the moment at which reading goes on; an attempt for a caller whose buffer is full begins without reading.

Evidence: GatewayTest "stays at its endpoint while its caller does not read" failed with requests at two endpoints and passes with one.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -207,6 +207,7 @@
         lastProgressMillis = sentMillis
         target.onAttempt(sentMillis)
         newExchange.start(connectTimeoutMillis)
+        if (!connection.isWritable) newExchange.setReading(false)
     }
 
     /** Cancels the current attempt; the endpoint is assumed to have executed the call. */
@@ -466,6 +467,8 @@
 
     /** Starts or stops reading from the endpoint, to apply the backpressure of the caller. */
     fun setReading(isReading: Boolean) {
+        // The silence of the endpoint counts from here: nothing was read from it before.
+        if (isReading) lastProgressMillis = monotonicMillis()
         exchange?.setReading(isReading)
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -438,6 +438,8 @@
     // repeatable call is sent to another endpoint, but only to one with free capacity.
     private fun checkStall(call: Call, nowMillis: Long) {
         if (call.isCommitted && !call.isResumable) return
+        // Nothing is read from the endpoint while the caller does not read.
+        if (!call.connection.isWritable) return
         if (nowMillis - call.lastProgressMillis < stallMillis(call.route, call.isCommitted)) return
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return
         val placement = placements.place(call, nowMillis)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -27,6 +27,12 @@
 private fun Socket.refuseVersion(request: ReceivedRequest) =
     respond(request, "", "421 Misdirected Request", "Not-Run: 1\r\n")
 
+// Together larger than the socket buffers between an endpoint and a caller.
+private const val LARGE_EVENTS = 200
+
+// Several times the silence after which a stream continues at another endpoint.
+private const val SLOW_CALLER_MILLIS = 1500L
+
 private fun event(id: Int) = "id: $id\ndata: token$id\n\n"
 
 class GatewayTest :
@@ -213,6 +219,34 @@
                 response shouldContain "token1"
                 response.endsWith("0\r\n\r\n") shouldBe false
             }
+            // Guards against taking a caller that reads slowly for a silent endpoint.
+            it("stays at its endpoint while its caller does not read") {
+                val filled = CountDownLatch(1)
+                val large = "id: 1\ndata: ${"~".repeat(100_000)}\n\n"
+                val endpoints = List(2) {
+                    endpoint { _, socket ->
+                        socket.send("HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n")
+                        socket.send("Content-Type: text/event-stream\r\n\r\n")
+                        repeat(LARGE_EVENTS) {
+                            socket.send(large)
+                            if (it == 0) filled.countDown()
+                        }
+                    }
+                }
+                val gateway = TestGateway(endpoints.map { it.port }, targetMillis = 100)
+                Socket("127.0.0.1", gateway.port).use { caller ->
+                    caller.soTimeout = CALL_SECONDS * 1000
+                    caller.send(
+                        "POST /stream/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\n" +
+                            "Connection: close\r\nContent-Length: 0\r\n\r\n"
+                    )
+                    filled.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS) shouldBe true
+                    Thread.sleep(SLOW_CALLER_MILLIS)
+                    endpoints.sumOf { it.received.size } shouldBe 1
+                    val response = caller.getInputStream().readBytes()
+                    response.decodeToString().split("id: 1\n").size shouldBe LARGE_EVENTS + 1
+                }
+            }
             it("is cancelled at the endpoint when its caller disconnects") {
                 val closed = CountDownLatch(1)
                 val started = CountDownLatch(1)
