Keep the attempt at a silent endpoint until another one takes over

Seen: a stream was broken off although its endpoint would have completed it.

Cause: after three event gaps of silence the attempt was cancelled before it was known whether another endpoint could go on. If that one refused the rest or failed, and no third had room, the response ended.

Change: the attempt is set aside. It is dropped when another endpoint responds; it continues if its endpoint goes on first, or when no other one takes the call.

Evidence: GatewayTest "continues at a silent endpoint when no other one takes it over" failed (two of four events, body without its end) and passes; two more cases cover an endpoint that goes on while the call waits, and one that is replaced.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -315,6 +315,7 @@
     }
 
     private fun fail(call: Call, reason: String) {
+        if (call.restoreSilentAttempt()) return
         val refusal = if (call.mayHaveExecuted) {
             Refusal(BAD_GATEWAY, reason)
         } else {
@@ -356,6 +357,10 @@
         endpoint.onSignal(observation, now)
     }
 
+    override fun onSilenceEnded(call: Call) {
+        queue.remove(call)
+    }
+
     override fun onBuffered(call: Call, bytes: Int) {
         responseMemory.update(call, bytes)?.releaseBuffer()
     }
@@ -435,7 +440,8 @@
     }
 
     // Load pattern: connections of a failed or unreachable endpoint stay open but carry no data. A
-    // repeatable call is sent to another endpoint, but only to one with free capacity.
+    // repeatable call is sent to another endpoint, but only to one with free capacity. A sound
+    // endpoint may be silent for a second, so its attempt is kept until the other one responds.
     private fun checkStall(call: Call, nowMillis: Long) {
         if (call.isCommitted && !call.isResumable) return
         // Nothing is read from the endpoint while the caller does not read.
@@ -455,7 +461,7 @@
             put("silentMillis", nowMillis - call.lastProgressMillis)
         }
         crashes.onLost(call)
-        call.cancelAttempt()
+        call.setAsideSilentAttempt()
         call.mayHaveExecuted = true
         send(call, placement)
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -219,6 +219,75 @@
                 response shouldContain "token1"
                 response.endsWith("0\r\n\r\n") shouldBe false
             }
+            // Guards against ending a response because its endpoint was silent for a while.
+            it("continues at a silent endpoint when no other one takes it over") {
+                val hasRefused = CountDownLatch(1)
+                val isFirst = AtomicBoolean(true)
+                val endpoints = List(2) {
+                    endpoint { request, socket ->
+                        if (!isFirst.getAndSet(false)) {
+                            socket.respond(request, "", "503 Full", "Not-Run: 1\r\n")
+                            hasRefused.countDown()
+                            return@endpoint
+                        }
+                        socket.send("HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n")
+                        socket.send("Content-Type: text/event-stream\r\n\r\n")
+                        socket.send(event(1) + event(2) + "id: 3\nda")
+                        hasRefused.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
+                        socket.send("ta: token3\n\n" + event(4))
+                    }
+                }
+                val response = TestGateway(endpoints.map { it.port }, targetMillis = 100)
+                    .call("/stream/")
+                endpoints.sumOf { it.received.size } shouldBe 2
+                (1..4).forEach { response.split("data: token$it\n").size shouldBe 2 }
+                response.endsWith("0\r\n\r\n") shouldBe true
+            }
+            it("continues at a silent endpoint that goes on while no other one has room") {
+                val hasRefused = CountDownLatch(1)
+                val isFirst = AtomicBoolean(true)
+                val endpoints = List(2) {
+                    endpoint { request, socket ->
+                        if (!isFirst.getAndSet(false)) {
+                            socket.respond(request, "", "503 Full", "Not-Run: 1\r\n")
+                            hasRefused.countDown()
+                            return@endpoint
+                        }
+                        socket.send("HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n")
+                        socket.send("Content-Type: text/event-stream\r\n\r\n" + event(1))
+                        hasRefused.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
+                        // Longer than a call waits for an endpoint that continues its stream.
+                        Thread.sleep(2000)
+                        socket.send(event(2))
+                    }
+                }
+                val response = TestGateway(endpoints.map { it.port }, targetMillis = 100)
+                    .call("/stream/")
+                (1..2).forEach { response.split("data: token$it\n").size shouldBe 2 }
+                response.endsWith("0\r\n\r\n") shouldBe true
+            }
+            it("continues at another endpoint when it takes over from a silent one") {
+                val toClose = CountDownLatch(1)
+                val isFirst = AtomicBoolean(true)
+                val endpoints = List(2) {
+                    endpoint { request, socket ->
+                        socket.send("HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n")
+                        socket.send("Content-Type: text/event-stream\r\n\r\n")
+                        if (isFirst.getAndSet(false)) {
+                            socket.send(event(1) + event(2))
+                            toClose.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
+                        } else {
+                            request.headers["last"] shouldBe "2"
+                            socket.send(event(3) + event(4))
+                        }
+                    }
+                }
+                val response = TestGateway(endpoints.map { it.port }, targetMillis = 100)
+                    .call("/stream/")
+                toClose.countDown()
+                (1..4).forEach { response.split("data: token$it\n").size shouldBe 2 }
+                response.endsWith("0\r\n\r\n") shouldBe true
+            }
             // Guards against taking a caller that reads slowly for a silent endpoint.
             it("stays at its endpoint while its caller does not read") {
                 val filled = CountDownLatch(1)
