Keep only streams at a silent endpoint, and none that it ends

Change: only an attempt that has begun a stream is kept; it is dropped when its endpoint ends the response. A request without a response is taken from a silent endpoint at once, as before.

Evidence: GatewayTest "continues at another endpoint when the silent one ends within an event" is new; the other cases of GatewayTest pass.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -214,7 +214,7 @@
         if (!connection.isWritable) newExchange.setReading(false)
     }
 
-    // The state of an attempt at an endpoint that has gone silent.
+    // The state of an attempt whose endpoint has gone silent within a stream.
     private class SilentAttempt(
         val endpoint: FleetEndpoint,
         val run: EndpointRun?,
@@ -222,22 +222,23 @@
         val sentMillis: Long,
         val versionMin: Long,
         val weightVersion: Long?,
-        val responseHead: HttpResponse?,
-        val isSealed: Boolean,
         val eventSplitter: EventStreamSplitter?,
-        val bufferedBody: ByteArrayOutputStream,
         val attemptEvents: Int
     )
 
     /**
-     * Sets the current attempt aside, because its endpoint has gone silent, so that the call can be
-     * sent to another one. A silent endpoint may go on: its attempt is kept until another one
-     * responds, and continues if none does or if it is the first to go on.
+     * Leaves an endpoint that has gone silent, so that the call can be sent to another one. Within
+     * a stream, the attempt is kept: it is dropped when another endpoint responds, and continues if
+     * its endpoint goes on first or if no other one takes the call.
      */
-    fun setAsideSilentAttempt() {
+    fun leaveSilentEndpoint() {
         val current = exchange ?: return
         val target = endpoint ?: return
         dropSilentAttempt()
+        if (!isCommitted) {
+            cancelAttempt()
+            return
+        }
         silentAttempt = SilentAttempt(
             target,
             endpointRun,
@@ -245,10 +246,7 @@
             sentMillis,
             versionMin,
             weightVersion,
-            responseHead,
-            isSealed,
             eventSplitter,
-            bufferedBody,
             attemptEvents
         )
         recordAttempt(AttemptOutcome.MAY_HAVE_RUN)
@@ -275,10 +273,7 @@
         sentMillis = kept.sentMillis
         versionMin = kept.versionMin
         weightVersion = kept.weightVersion
-        responseHead = kept.responseHead
-        isSealed = kept.isSealed
         eventSplitter = kept.eventSplitter
-        bufferedBody = kept.bufferedBody
         attemptEvents = kept.attemptEvents
         lastProgressMillis = monotonicMillis()
         return true
@@ -350,7 +345,7 @@
     }
 
     override fun onHead(exchange: EndpointExchange, response: HttpResponse) {
-        if (!isCurrent(exchange)) return
+        if (exchange !== this.exchange) return
         lastProgressMillis = monotonicMillis()
         val status = response.status().code()
         val lookup = { name: String -> response.headers().get(name) }
@@ -509,7 +504,9 @@
     }
 
     override fun onEnd(exchange: EndpointExchange) {
-        if (!isCurrent(exchange)) return
+        // An endpoint that ends a stream after a silence may have crashed.
+        if (exchange === silentAttempt?.exchange) dropSilentAttempt()
+        if (exchange !== this.exchange) return
         val events = eventSplitter
         if (events != null && events.isInsideEvent) {
             onBrokenResponse("stream ended within an event")
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -441,7 +441,7 @@
 
     // Load pattern: connections of a failed or unreachable endpoint stay open but carry no data. A
     // repeatable call is sent to another endpoint, but only to one with free capacity. A sound
-    // endpoint may be silent for a second, so its attempt is kept until the other one responds.
+    // endpoint may be silent for a second, so it keeps a stream until the other one responds.
     private fun checkStall(call: Call, nowMillis: Long) {
         if (call.isCommitted && !call.isResumable) return
         // Nothing is read from the endpoint while the caller does not read.
@@ -461,7 +461,7 @@
             put("silentMillis", nowMillis - call.lastProgressMillis)
         }
         crashes.onLost(call)
-        call.setAsideSilentAttempt()
+        call.leaveSilentEndpoint()
         call.mayHaveExecuted = true
         send(call, placement)
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -288,6 +288,32 @@
                 (1..4).forEach { response.split("data: token$it\n").size shouldBe 2 }
                 response.endsWith("0\r\n\r\n") shouldBe true
             }
+            it("continues at another endpoint when the silent one ends within an event") {
+                val hasTakenOver = CountDownLatch(1)
+                val hasEnded = CountDownLatch(1)
+                val isFirst = AtomicBoolean(true)
+                val endpoints = List(2) {
+                    endpoint { _, socket ->
+                        val head = "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n" +
+                            "Content-Type: text/event-stream\r\n\r\n"
+                        if (isFirst.getAndSet(false)) {
+                            socket.send(head + event(1) + "id: 2\nda")
+                            hasTakenOver.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
+                            socket.close()
+                            hasEnded.countDown()
+                        } else {
+                            hasTakenOver.countDown()
+                            hasEnded.await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
+                            Thread.sleep(100)
+                            socket.send(head + event(2) + event(3))
+                        }
+                    }
+                }
+                val response = TestGateway(endpoints.map { it.port }, targetMillis = 100)
+                    .call("/stream/")
+                (1..3).forEach { response.split("data: token$it\n").size shouldBe 2 }
+                response.endsWith("0\r\n\r\n") shouldBe true
+            }
             // Guards against taking a caller that reads slowly for a silent endpoint.
             it("stays at its endpoint while its caller does not read") {
                 val filled = CountDownLatch(1)
