Report connections of callers that a time-out or an error closes

Seen by operators: a connection that a time-out closes left no line, whether or not bytes of a response were lost with it; an exception in a connection, in a timer of a call or in the queue was not reported at all.

Change: E517 with the reason, the inactive time and the unsent bytes; E518 with the request and the exception; toucanspur_callers_timed_out and toucanspur_callers_cut; time-outs and the decoding time in E210. Timers and queued tasks report their failure as E105. No decision changes.

Evidence: the module's GatewayTest and CallerConnectionTest pass.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -69,5 +69,7 @@
     ),
     ENDPOINT_LIMITED(514, "endpoint named, changed or lifted a limit on its requests"),
     ENDPOINT_LEAVING(515, "endpoint said that it is leaving"),
-    ENDPOINT_BACKOFF(516, "endpoint asked for no requests for a time")
+    ENDPOINT_BACKOFF(516, "endpoint asked for no requests for a time"),
+    CALLER_TIMED_OUT(517, "connection of a caller closed by a time-out"),
+    CALLER_FAILED(518, "connection of a caller closed by an internal error")
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -108,7 +108,7 @@
 
     private fun scheduleDeadline(call: Call) {
         call.deadlineTimer?.cancel(false)
-        call.deadlineTimer = loop.schedule(call.deadlineMillis - monotonicMillis()) {
+        call.deadlineTimer = loop.schedule("deadline", call.deadlineMillis - monotonicMillis()) {
             onDeadline(call)
         }
     }
@@ -366,7 +366,7 @@
     }
 
     override fun onCapacityFreed(call: Call) {
-        if (queue.size > 0) loop.executor.execute(::drainQueue)
+        if (queue.size > 0) loop.execute("queue", ::drainQueue)
     }
 
     /** Called when a load report or an endpoint listing may have changed the available capacity. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.daemon.monotonicMillis
 
@@ -50,6 +51,9 @@
 
     /** Called when [connection] is open. */
     fun onConnect(connection: CallerConnection)
+
+    /** Called before [connection] is closed because of [cause], which is no error of its socket. */
+    fun onInternalError(connection: CallerConnection, cause: Throwable)
 }
 
 /** One connection; confined to the event loop. */
@@ -74,8 +78,11 @@
     /** Whether the connection is idle and all responses are written to the socket. */
     val isDrained: Boolean get() = isIdle && queuedMessages.isEmpty() && !hasPendingWrites
 
-    private val hasPendingWrites: Boolean
-        get() = (context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
+    /** Number of response bytes that the socket has not accepted yet. */
+    val unsentBytes: Long
+        get() = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+
+    private val hasPendingWrites: Boolean get() = unsentBytes > 0
 
     /** Whether a request has been received in part. */
     val isReading: Boolean get() = !isResponding && head != null
@@ -247,7 +254,9 @@
             return
         }
         // Deferred, because the code that ends the response may still have cleanup to do.
-        context.executor().execute(::readQueuedMessages)
+        context.executor().execute {
+            runCatching(::readQueuedMessages).onFailure(context.pipeline()::fireExceptionCaught)
+        }
     }
 
     private fun readQueuedMessages() {
@@ -268,6 +277,7 @@
 
     @Deprecated("Deprecated in Java")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        if (cause !is IOException) listener.onInternalError(this, cause)
         ctx.close()
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -42,14 +42,16 @@
     private val state = GatewayState(settings, random)
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val codec = platformRequestCodec()
-    private val dispatcher =
-        CallDispatcher(loop, state, codec, log, GatewayMetrics(registry))
+    private val gatewayMetrics = GatewayMetrics(registry)
+    private val dispatcher = CallDispatcher(loop, state, codec, log, gatewayMetrics)
     private val store: ObjectFeed = PlatformStore(NettyHttpClient(loop), settings.store.address)
     private val server = GatewayServer(
         loop,
         state,
         dispatcher,
-        (settings.limits.descriptors - DESCRIPTORS_RESERVED) / 2
+        (settings.limits.descriptors - DESCRIPTORS_RESERVED) / 2,
+        log,
+        gatewayMetrics
     )
     private val loadSubscriber = LoadSubscriber(loop, state, dispatcher::onLoadChanged)
     private val listingAge = ListingAgeTracker { state.listedKinds += ObjectKind.WEIGHT_VERSIONS }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
@@ -35,6 +35,12 @@
     fun onRefused(status: Int) =
         registry.counter("toucanspur.requests.refused", "status", status.toString()).increment()
 
+    /** Records a connection that a time-out closed although [unsentBytes] were not sent yet. */
+    fun onTimedOut(reason: String, unsentBytes: Long) {
+        registry.counter("toucanspur.callers.timed.out", "reason", reason).increment()
+        if (unsentBytes > 0) registry.counter("toucanspur.callers.cut").increment()
+    }
+
     /**
      * Records the time from sending a request to its response head. Only requests that were allowed
      * to begin on an older version than the newest target version are recorded.
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -21,6 +21,9 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import java.net.InetSocketAddress
+import kotlinx.serialization.json.put
+import org.toucanspur.core.events.EventCode
+import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
 
@@ -29,7 +32,9 @@
     private val loop: NettyEventLoop,
     private val state: GatewayState,
     private val dispatcher: CallDispatcher,
-    private val connectionsMax: Int
+    private val connectionsMax: Int,
+    private val log: DecisionLog,
+    private val metrics: GatewayMetrics
 ) : CallerConnectionListener {
     private val calls = HashMap<CallerConnection, Call>()
     private val connections = LinkedHashSet<CallerConnection>()
@@ -90,12 +95,32 @@
         val now = monotonicMillis()
         connections.toList().forEach { connection ->
             val inactiveMillis = now - connection.lastActiveMillis
-            val isTimedOut = when {
-                connection.isReading -> inactiveMillis > headerMillis
-                connection.isIdle -> inactiveMillis > idleMillis
-                else -> false
+            when {
+                connection.isReading && inactiveMillis > headerMillis ->
+                    closeTimedOut(connection, "request is incomplete", inactiveMillis)
+                connection.isIdle && inactiveMillis > idleMillis ->
+                    closeTimedOut(connection, "idle", inactiveMillis)
             }
-            if (isTimedOut) connection.close()
+        }
+    }
+
+    private fun closeTimedOut(connection: CallerConnection, reason: String, inactiveMillis: Long) {
+        val unsentBytes = connection.unsentBytes
+        log.event(EventCode.CALLER_TIMED_OUT, isEssential = unsentBytes > 0) {
+            put("reason", reason)
+            put("inactiveMillis", inactiveMillis)
+            put("unsentBytes", unsentBytes)
+            put("configuration", state.configuration?.version ?: 0)
+        }
+        metrics.onTimedOut(reason, unsentBytes)
+        connection.close()
+    }
+
+    override fun onInternalError(connection: CallerConnection, cause: Throwable) {
+        log.event(EventCode.CALLER_FAILED) {
+            put("request", calls[connection]?.takeUnless { it.isFinished }?.id?.value ?: "")
+            put("cause", cause.toString())
+            put("at", cause.stackTrace.firstOrNull().toString())
         }
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -63,6 +63,7 @@
     }
 
     private fun adopt(stored: StoredObject) {
+        val startMillis = monotonicMillis()
         decodeConfiguration(stored.text.orEmpty()).fold(
             success = { changed ->
                 if (changed.version <= (state.configuration?.version ?: Long.MIN_VALUE)) return
@@ -71,6 +72,9 @@
                     put("version", changed.version)
                     put("revision", stored.revision)
                     put("routes", changed.routes.size)
+                    put("headerTimeoutMillis", changed.limits.headerTimeoutMillis)
+                    put("idleTimeoutMillis", changed.limits.idleTimeoutMillis)
+                    put("decodeMillis", monotonicMillis() - startMillis)
                 }
             },
             failure = { reason ->
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyEventLoop.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyEventLoop.kt
@@ -65,9 +65,17 @@
     /** Scope whose coroutines run on the event loop. */
     val scope = CoroutineScope(SupervisorJob() + executor.asCoroutineDispatcher())
 
-    /** Runs [action] on the event loop after [delayMillis]. */
-    fun schedule(delayMillis: Long, action: () -> Unit): ScheduledFuture<*> =
-        executor.schedule(action, maxOf(0, delayMillis), TimeUnit.MILLISECONDS)
+    /** Runs [action], the task [name], on the event loop. */
+    fun execute(name: String, action: () -> Unit) =
+        executor.execute { runCatching(action).onFailure { onFailure(name, it) } }
+
+    /** Runs [action], the task [name], on the event loop after [delayMillis]. */
+    fun schedule(name: String, delayMillis: Long, action: () -> Unit): ScheduledFuture<*> =
+        executor.schedule(
+            { runCatching(action).onFailure { onFailure(name, it) } },
+            maxOf(0, delayMillis),
+            TimeUnit.MILLISECONDS
+        )
 
     /**
      * Runs [action], the task [name], repeatedly on the event loop, with a delay of [periodMillis]
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -59,7 +59,9 @@
         private var channel: Channel? = null
         private var isSent = false
         private var isDone = false
-        private val timeout = loop.schedule(call.timeoutMillis) { fail("timed out") }
+        private val timeout = loop.schedule("call time-out", call.timeoutMillis) {
+            fail("timed out")
+        }
 
         init {
             continuation.invokeOnCancellation { loop.executor.execute { finish(null) } }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerConnectionTest.kt
@@ -20,6 +20,8 @@
     override fun onWritabilityChanged(connection: CallerConnection, isWritable: Boolean) = Unit
 
     override fun onConnect(connection: CallerConnection) = Unit
+
+    override fun onInternalError(connection: CallerConnection, cause: Throwable) = Unit
 }
 
 /** A channel whose peer reads only while [isPeerReading]. */
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -123,7 +123,14 @@
         val metrics = GatewayMetrics(registry)
         val dispatcher =
             CallDispatcher(loop, state, TestRequestCodec, events.log, metrics, queueMax)
-        val server = GatewayServer(loop, state, dispatcher, connectionsMax = 100)
+        val server = GatewayServer(
+            loop,
+            state,
+            dispatcher,
+            connectionsMax = 100,
+            events.log,
+            metrics
+        )
         port = server.start(InetSocketAddress("127.0.0.1", 0)).port
     }
 
