Keep a connection open while its caller has not read the response

Callers saw a response end before its last byte: with an idle time-out that became shorter, the first check closed all connections whose complete response still waited for its caller to read.

Cause: a response that was written to the connection counted as done, so the time in which its caller did not read was idle time. Change: the decision is a rule of its own, CallerTimeouts. With unsent bytes, a connection is closed only after the deadline of its request, and only if the caller has taken no bytes for the idle time-out, so that a caller that never reads does not keep it for ever. Requests that wait in the connection are no idle time either. toucanspur_callers_unsent_bytes shows what waits.

E517, E518 and both counters have tests.

--- /dev/null
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CallerTimeoutsTest.kt
@@ -0,0 +1,64 @@
+package org.toucanspur.core.gateway
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+
+private const val IDLE_MILLIS = 15_000L
+private const val HEADER_MILLIS = 3000L
+
+private fun limits(headerMillis: Long = HEADER_MILLIS, idleMillis: Long = IDLE_MILLIS) =
+    CallerLimits(1024, 1024, headerMillis, idleMillis)
+
+private val idle = CallerActivity(
+    isReceiving = false,
+    isServing = false,
+    unsentBytes = 0,
+    lastProgressMillis = 0,
+    deadlineMillis = 0
+)
+
+class CallerTimeoutsTest :
+    DescribeSpec({
+        describe("an idle connection") {
+            it("is closed after the idle time-out") {
+                val timeouts = CallerTimeouts(limits())
+                timeouts.expired(idle, IDLE_MILLIS) shouldBe null
+                timeouts.expired(idle, IDLE_MILLIS + 1) shouldBe CallerTimeout.IDLE
+            }
+            it("is judged by a longer time-out at once") {
+                val timeouts = CallerTimeouts(limits(idleMillis = 1000))
+                timeouts.onLimits(limits())
+                timeouts.expired(idle, IDLE_MILLIS) shouldBe null
+            }
+        }
+        describe("a request that is received in part") {
+            val receiving = idle.copy(isReceiving = true)
+            it("times out after the header time-out, not the idle time-out") {
+                val timeouts = CallerTimeouts(limits(idleMillis = 1000))
+                timeouts.expired(receiving, HEADER_MILLIS) shouldBe null
+                timeouts.expired(receiving, HEADER_MILLIS + 1) shouldBe
+                    CallerTimeout.INCOMPLETE_REQUEST
+            }
+        }
+        describe("a request that is processed or waits") {
+            it("does not time out") {
+                val serving = idle.copy(isServing = true)
+                CallerTimeouts(limits()).expired(serving, Long.MAX_VALUE) shouldBe null
+            }
+        }
+        describe("a response that its caller has not read") {
+            val unread = idle.copy(unsentBytes = 1, deadlineMillis = 60_000)
+            it("keeps its connection open until its deadline") {
+                val timeouts = CallerTimeouts(limits())
+                timeouts.expired(unread, 59_999) shouldBe null
+                timeouts.expired(unread, 60_000) shouldBe CallerTimeout.UNREAD_RESPONSE
+            }
+            it("keeps its connection open after its deadline while its caller reads") {
+                val reading = unread.copy(lastProgressMillis = 55_000)
+                val timeouts = CallerTimeouts(limits())
+                timeouts.expired(reading, 55_000 + IDLE_MILLIS) shouldBe null
+                timeouts.expired(reading, 55_001 + IDLE_MILLIS) shouldBe
+                    CallerTimeout.UNREAD_RESPONSE
+            }
+        }
+    })
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
+import org.toucanspur.core.gateway.CallerActivity
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.daemon.monotonicMillis
 
@@ -67,10 +68,9 @@
     private var isKeepAlive = true
     private var isResponding = false
     private var isInputDiscarded = false
-
-    /** Monotonic time of the last read or of the end of the last response. */
-    var lastActiveMillis = monotonicMillis()
-        private set
+    private var lastActiveMillis = monotonicMillis()
+    private var deadlineMillis = 0L
+    private var observedUnsentBytes = 0L
 
     /** Whether no request is being received or processed. */
     val isIdle: Boolean get() = head == null && !isResponding
@@ -80,16 +80,35 @@
 
     /** Number of response bytes that the socket has not accepted yet. */
     val unsentBytes: Long
-        get() = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+        get() = context.channel().unsafe().outboundBuffer()
+            ?.let { it.totalPendingWriteBytes() - it.currentProgress() } ?: 0
 
     private val hasPendingWrites: Boolean get() = unsentBytes > 0
 
-    /** Whether a request has been received in part. */
-    val isReading: Boolean get() = !isResponding && head != null
+    private val isReading: Boolean get() = !isResponding && head != null
 
     /** Whether the write buffer of the connection has room. */
     val isWritable: Boolean get() = context.channel().isWritable
 
+    /** Keeps the connection open for a response that is due by [millis]. */
+    fun extendDeadline(millis: Long) {
+        deadlineMillis = maxOf(deadlineMillis, millis)
+    }
+
+    /** Returns what is under way; bytes that were sent since the last call are progress. */
+    fun observe(): CallerActivity {
+        val unsent = unsentBytes
+        if (unsent < observedUnsentBytes) lastActiveMillis = monotonicMillis()
+        observedUnsentBytes = unsent
+        return CallerActivity(
+            isReceiving = isReading,
+            isServing = isResponding || queuedMessages.isNotEmpty(),
+            unsentBytes = unsent,
+            lastProgressMillis = lastActiveMillis,
+            deadlineMillis = deadlineMillis
+        )
+    }
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -83,6 +83,7 @@
             it.bufferedBytes.toDouble()
         }
         registry.gauge("toucanspur.callers.connections", server) { it.connectionCount.toDouble() }
+        registry.gauge("toucanspur.callers.unsent.bytes", server) { it.unsentBytes.toDouble() }
         registry.gauge("toucanspur.fingerprints.refused", state) {
             it.crashSuspects.refusedCount.toDouble()
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -23,6 +23,8 @@
 import java.net.InetSocketAddress
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.gateway.CallerActivity
+import org.toucanspur.core.gateway.CallerTimeout
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
@@ -44,7 +46,7 @@
         private set
 
     override val bodyMaxBytes: Int
-        get() = state.configuration?.limits?.bodyMaxBytes ?: DEFAULT_BODY_BYTES
+        get() = state.callerLimits.bodyMaxBytes
 
     /** Starts listening; returns the bound address. */
     fun start(address: InetSocketAddress): InetSocketAddress {
@@ -55,7 +57,7 @@
     }
 
     private fun initializeChannel(channel: Channel) {
-        val headerMax = state.configuration?.limits?.headerMaxBytes ?: DEFAULT_HEADER_BYTES
+        val headerMax = state.callerLimits.headerMaxBytes
         val config = HttpDecoderConfig()
             .setMaxInitialLineLength(headerMax)
             .setMaxHeaderSize(headerMax)
@@ -75,8 +77,9 @@
     }
 
     override fun onRequest(connection: CallerConnection, request: BufferedRequest) {
-        val call = dispatcher.onRequest(connection, request)
-        if (call != null && !call.isFinished) calls[connection] = call
+        val call = dispatcher.onRequest(connection, request) ?: return
+        connection.extendDeadline(call.deadlineMillis)
+        if (!call.isFinished) calls[connection] = call
     }
 
     override fun onDisconnect(connection: CallerConnection) {
@@ -88,32 +91,25 @@
         calls[connection]?.takeUnless { it.isFinished }?.setReading(isWritable)
     }
 
-    private fun closeTimedOut() {
-        val limits = state.configuration?.limits
-        val idleMillis = limits?.idleTimeoutMillis ?: DEFAULT_IDLE_MILLIS
-        val headerMillis = limits?.headerTimeoutMillis ?: DEFAULT_HEADER_MILLIS
+    internal fun closeTimedOut() {
         val now = monotonicMillis()
         connections.toList().forEach { connection ->
-            val inactiveMillis = now - connection.lastActiveMillis
-            when {
-                connection.isReading && inactiveMillis > headerMillis ->
-                    closeTimedOut(connection, "request is incomplete", inactiveMillis)
-                connection.isIdle && inactiveMillis > idleMillis ->
-                    closeTimedOut(connection, "idle", inactiveMillis)
+            val activity = connection.observe()
+            state.callerTimeouts.expired(activity, now)?.let { timeout ->
+                report(timeout, activity, now)
+                connection.close()
             }
         }
     }
 
-    private fun closeTimedOut(connection: CallerConnection, reason: String, inactiveMillis: Long) {
-        val unsentBytes = connection.unsentBytes
-        log.event(EventCode.CALLER_TIMED_OUT, isEssential = unsentBytes > 0) {
-            put("reason", reason)
-            put("inactiveMillis", inactiveMillis)
-            put("unsentBytes", unsentBytes)
+    private fun report(timeout: CallerTimeout, activity: CallerActivity, nowMillis: Long) {
+        log.event(EventCode.CALLER_TIMED_OUT, isEssential = activity.unsentBytes > 0) {
+            put("reason", timeout.reason)
+            put("inactiveMillis", nowMillis - activity.lastProgressMillis)
+            put("unsentBytes", activity.unsentBytes)
             put("configuration", state.configuration?.version ?: 0)
         }
-        metrics.onTimedOut(reason, unsentBytes)
-        connection.close()
+        metrics.onTimedOut(timeout.reason, activity.unsentBytes)
     }
 
     override fun onInternalError(connection: CallerConnection, cause: Throwable) {
@@ -138,14 +134,13 @@
     /** Whether a request is being received or processed, or a response is not yet written. */
     val isServing: Boolean get() = connections.any { !it.isDrained }
 
+    /** Number of response bytes that the sockets of callers have not accepted yet. */
+    val unsentBytes: Long get() = connections.sumOf { it.unsentBytes }
+
     /** Number of open connections. */
     val connectionCount: Int get() = connections.size
 
     private companion object {
-        const val DEFAULT_BODY_BYTES = 4_194_304
-        const val DEFAULT_HEADER_BYTES = 16_384
-        const val DEFAULT_IDLE_MILLIS = 15_000L
-        const val DEFAULT_HEADER_MILLIS = 3000L
         const val TIMEOUT_CHECK_MILLIS = 500L
     }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -6,6 +6,8 @@
 
 import java.util.EnumSet
 import kotlin.random.Random
+import org.toucanspur.core.gateway.CallerLimits
+import org.toucanspur.core.gateway.CallerTimeouts
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.ConfigurationFreshness
@@ -38,6 +40,14 @@
 // Records expire after three heartbeats without a renewal; the rest is for the watch of the store.
 private const val CONFIRMATION_HEARTBEATS = 5L
 
+// Limits on callers before the first configuration is loaded.
+private val initialLimits = CallerLimits(
+    headerMaxBytes = 16_384,
+    bodyMaxBytes = 4_194_304,
+    headerTimeoutMillis = 3000,
+    idleTimeoutMillis = 15_000
+)
+
 /** Monotonic and wall clock of this VM. */
 val systemClocks = ClockPair { ClockReading(monotonicMillis(), wallMillis()) }
 
@@ -45,6 +55,16 @@
 class GatewayState(val settings: NodeConfiguration, val random: Random) {
     /** Active configuration; null until the first one is loaded. */
     var configuration: TrafficConfiguration? = null
+        set(value) {
+            value?.limits?.let(callerTimeouts::onLimits)
+            field = value
+        }
+
+    /** Limits on callers that are in force. */
+    val callerLimits: CallerLimits get() = configuration?.limits ?: initialLimits
+
+    /** Time-outs of callers' connections. */
+    val callerTimeouts = CallerTimeouts(initialLimits)
 
     /** Object kinds that have been listed at least once. */
     val listedKinds: MutableSet<ObjectKind> = EnumSet.noneOf(ObjectKind::class.java)
--- /dev/null
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
@@ -0,0 +1,131 @@
+/*
+ * Time-outs and limits of callers' connections, and changes to them while the connections are open.
+ */
+package org.toucanspur.daemon.gateway
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import java.net.Socket
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.gateway.CallerLimits
+
+private const val LONG_MILLIS = 15_000L
+private const val SHORT_MILLIS = 200L
+
+// Later than the first check for time-outs after the short one has passed.
+private const val CHECKED_MILLIS = 1200L
+
+// Lets the gateway read what was sent.
+private const val READ_MILLIS = 100L
+private const val BODY_BYTES = 120_000
+private const val HEADER_BYTES = 16_384
+private const val LARGE_HEADER_BYTES = 5000
+
+private fun limits(
+    headerMaxBytes: Int = HEADER_BYTES,
+    bodyMaxBytes: Int = 1000,
+    headerMillis: Long = LONG_MILLIS,
+    idleMillis: Long = LONG_MILLIS
+) = CallerLimits(headerMaxBytes, bodyMaxBytes, headerMillis, idleMillis)
+
+private fun head(extraHeaders: String = "Content-Length: 0\r\n") =
+    "POST /once/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\n$extraHeaders\r\n"
+
+private fun connect(gateway: TestGateway) = Socket("127.0.0.1", gateway.port).apply {
+    soTimeout = CALL_SECONDS * 1000
+}
+
+private fun Socket.readHead(): String {
+    val head = StringBuilder()
+    while (!head.endsWith("\r\n\r\n")) {
+        val byte = getInputStream().read()
+        if (byte < 0) break
+        head.append(byte.toChar())
+    }
+    return head.toString()
+}
+
+/** Reads a complete response to [head] and returns its status line. */
+private fun Socket.exchange(head: String = head()): String {
+    send(head)
+    return readResponse()
+}
+
+private fun Socket.readResponse(): String {
+    val head = readHead()
+    val length = head.substringAfter("content-length: ", "0").substringBefore("\r\n").toInt()
+    getInputStream().readNBytes(length).size shouldBe length
+    return head.substringBefore("\r\n")
+}
+
+/** Sends requests until the caller's socket accepts no more of their responses; returns how many. */
+private fun Socket.fill(gateway: TestGateway, head: String = head()): Int {
+    var requests = 0
+    while (gateway.unsentBytes == 0L) {
+        send(head)
+        requests++
+        gateway.events.next(EventCode.REQUEST_ANSWERED)
+    }
+    return requests
+}
+
+class CallerTimeoutTest :
+    DescribeSpec({
+        val opened = ScriptedEndpoints()
+        afterTest { opened.closeAll() }
+
+        fun gateway(limits: CallerLimits, body: String = "fine"): TestGateway {
+            val endpoint = opened.open { request, socket -> socket.respond(request, body) }
+            return TestGateway(listOf(endpoint.port), limits = limits)
+        }
+        describe("a response that its caller has not read") {
+            // Guards against cutting off a response because of a shorter idle time-out.
+            it("is complete although the idle time-out becomes shorter meanwhile") {
+                val gateway = gateway(limits(), "~".repeat(BODY_BYTES))
+                connect(gateway).use { caller ->
+                    val requests = caller.fill(gateway)
+                    gateway.setLimits(limits(idleMillis = SHORT_MILLIS))
+                    Thread.sleep(CHECKED_MILLIS)
+                    repeat(requests) { caller.readResponse() shouldBe "HTTP/1.1 200 OK" }
+                }
+                gateway.count("toucanspur.callers.cut") shouldBe 0
+            }
+            it("keeps the connection open only until its deadline and the idle time-out") {
+                val gateway = gateway(limits(idleMillis = 2000), "~".repeat(BODY_BYTES))
+                connect(gateway).use { caller ->
+                    caller.fill(gateway, head("Left: 4000\r\nContent-Length: 0\r\n"))
+                    val event = gateway.events.next(EventCode.CALLER_TIMED_OUT)
+                    (event?.get("unsentBytes")?.jsonPrimitive?.long ?: 0).shouldBeGreaterThan(0)
+                }
+                gateway.count("toucanspur.callers.timed.out") shouldBe 1
+                gateway.count("toucanspur.callers.cut") shouldBe 1
+            }
+        }
+        describe("a connection that is idle") {
+            it("is closed and reported after the time-out") {
+                val gateway = gateway(limits(idleMillis = SHORT_MILLIS))
+                connect(gateway).use { it.awaitClose() }
+                val event = gateway.events.next(EventCode.CALLER_TIMED_OUT)
+                event?.get("reason")?.jsonPrimitive?.content shouldBe "idle"
+                event?.get("unsentBytes")?.jsonPrimitive?.long shouldBe 0
+                gateway.count("toucanspur.callers.timed.out") shouldBe 1
+                gateway.count("toucanspur.callers.cut") shouldBe 0
+            }
+        }
+        describe("an internal error in a connection") {
+            it("is reported with its cause") {
+                val gateway = gateway(limits())
+                connect(gateway).use { caller ->
+                    caller.send(head("Left: not a number\r\nContent-Length: 0\r\n"))
+                    caller.awaitClose()
+                }
+                val event = gateway.events.next(EventCode.CALLER_FAILED)
+                event?.get("cause")?.jsonPrimitive?.content.orEmpty() shouldContain
+                    "NumberFormatException"
+            }
+        }
+    })
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -99,8 +99,9 @@
     isFresh: Boolean = true,
     isListed: Boolean = true,
     private val targetMillis: Long = CALL_SECONDS * 1000L,
-    private val bodyMaxBytes: Int = 1000,
-    queueMax: Int = 256
+    bodyMaxBytes: Int = 1000,
+    queueMax: Int = 256,
+    private var limits: CallerLimits = CallerLimits(16_384, bodyMaxBytes, 3000, 15_000)
 ) {
     private val loop = NettyEventLoop()
     private val registry = SimpleMeterRegistry()
@@ -109,6 +110,7 @@
     val events = LogCapture()
     private val state = GatewayState(entrySettings(), Random(1))
     private var starts = 0L
+    private val server: GatewayServer
 
     /** Port for callers on the loopback address. */
     val port: Int
@@ -123,7 +125,7 @@
         val metrics = GatewayMetrics(registry)
         val dispatcher =
             CallDispatcher(loop, state, TestRequestCodec, events.log, metrics, queueMax)
-        val server = GatewayServer(
+        server = GatewayServer(
             loop,
             state,
             dispatcher,
@@ -149,13 +151,31 @@
             TrafficService(service, "/health", 100, 0.0, null, emptyList(), null),
             TrafficService(engineService, "/health", 100, 0.0, testEngine, emptyList(), null)
         ).associateBy { it.id },
-        CallerLimits(16_384, bodyMaxBytes, 3000, 15_000),
+        limits,
         listOf(Organisation(OrganisationId("acme"), keys, null, emptySet()))
     )
 
     /** Applies a configuration in which the organisation has the API [keys]. */
     fun setKeys(keys: Set<String>) = onLoop { state.configuration = configuration(keys) }
 
+    /** Applies a configuration with [changed] limits. */
+    fun setLimits(changed: CallerLimits) = onLoop {
+        limits = changed
+        state.configuration = configuration()
+    }
+
+    /** Runs [action] on the event loop and right after it the check for time-outs. */
+    fun checkTimeouts(action: () -> Unit) = onLoop {
+        action()
+        server.closeTimedOut()
+    }
+
+    /** Number of response bytes that callers have not taken yet. */
+    val unsentBytes: Long get() = loop.executor.submit<Long> { server.unsentBytes }.get()
+
+    /** Value of the counter [name]. */
+    fun count(name: String): Long = registry.find(name).counters().sumOf { it.count() }.toLong()
+
     private fun record(
         index: Int,
         port: Int,
