Judge connections by time-outs that were in force when they became idle

Callers saw connections closed that they had used within the idle time-out, and requests broken off while they sent them, right after a configuration with shorter time-outs.

Cause: the check for time-outs applied the newest limits to all that had begun under older ones. Change: a time-out that is superseded stays valid for as long as it lasted (CallerTimeouts), also for what begins meanwhile, because callers learn of it later. A longer one applies at once.

Evidence: CallerTimeoutTest "stays open as long as the time-out that its caller knows" and "is judged by the time-out under which it began" failed before: connection closed in place of "HTTP/1.1 200 OK". They pass now, as do CallerTimeoutsTest and CallerConnectionTest.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CallerTimeouts.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CallerTimeouts.kt
@@ -1,5 +1,7 @@
 /*
- * Time-outs of callers' connections. A response that waits for its caller to read is not idle time.
+ * Time-outs of callers' connections. Load pattern: the configuration changes them while connections
+ * are open. A caller goes by the time-out that it knows, so a time-out that was superseded stays
+ * valid for as long as it lasted. A response that waits for its caller to read is not idle time.
  */
 package org.toucanspur.core.gateway
 
@@ -31,20 +33,22 @@
 
 /** Judges connections by the limits in force, at first [initial]. */
 class CallerTimeouts(initial: CallerLimits) {
-    private var limits = initial
+    private val header = ReplaceableTimeout(initial.headerTimeoutMillis)
+    private val idle = ReplaceableTimeout(initial.idleTimeoutMillis)
 
-    /** Replaces the limits by [changed]. */
-    fun onLimits(changed: CallerLimits) {
-        limits = changed
+    /** Replaces the limits by [limits]. */
+    fun onLimits(limits: CallerLimits, nowMillis: Long) {
+        header.replace(limits.headerTimeoutMillis, nowMillis)
+        idle.replace(limits.idleTimeoutMillis, nowMillis)
     }
 
     /** The time-out that has passed for a connection with [activity]; null if none has. */
     fun expired(activity: CallerActivity, nowMillis: Long): CallerTimeout? {
         val inactiveMillis = nowMillis - activity.lastProgressMillis
-        val isIdleOver = inactiveMillis > limits.idleTimeoutMillis
+        val isIdleOver = inactiveMillis > idle.millis(nowMillis)
         return when {
             activity.isReceiving -> CallerTimeout.INCOMPLETE_REQUEST.takeIf {
-                inactiveMillis > limits.headerTimeoutMillis
+                inactiveMillis > header.millis(nowMillis)
             }
             activity.isServing -> null
             activity.unsentBytes > 0 -> CallerTimeout.UNREAD_RESPONSE.takeIf {
@@ -54,3 +58,24 @@
         }
     }
 }
+
+/** A time-out, at first [initialMillis], whose values stay valid once as long after they end. */
+private class ReplaceableTimeout(initialMillis: Long) {
+    private class Superseded(val millis: Long, val validUntilMillis: Long)
+
+    private var currentMillis = initialMillis
+    private val superseded = ArrayDeque<Superseded>()
+
+    fun replace(millis: Long, nowMillis: Long) {
+        if (millis == currentMillis) return
+        // A shorter value that ended earlier has no effect any more.
+        superseded.removeAll { it.millis <= currentMillis || it.validUntilMillis <= nowMillis }
+        superseded += Superseded(currentMillis, nowMillis + currentMillis)
+        currentMillis = millis
+    }
+
+    fun millis(nowMillis: Long): Long {
+        superseded.removeAll { it.validUntilMillis <= nowMillis }
+        return maxOf(currentMillis, superseded.maxOfOrNull { it.millis } ?: 0)
+    }
+}
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CallerTimeoutsTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CallerTimeoutsTest.kt
@@ -25,11 +25,48 @@
                 timeouts.expired(idle, IDLE_MILLIS) shouldBe null
                 timeouts.expired(idle, IDLE_MILLIS + 1) shouldBe CallerTimeout.IDLE
             }
+            it("is judged by a longer time-out that was superseded meanwhile") {
+                val timeouts = CallerTimeouts(limits())
+                timeouts.onLimits(limits(idleMillis = 1000), 2000)
+                timeouts.expired(idle, IDLE_MILLIS) shouldBe null
+                timeouts.expired(idle, IDLE_MILLIS + 1) shouldBe CallerTimeout.IDLE
+            }
+            it("is judged by the superseded time-out if its caller may still know only that one") {
+                val timeouts = CallerTimeouts(limits())
+                timeouts.onLimits(limits(idleMillis = 1000), 2000)
+                val later = idle.copy(lastProgressMillis = 3000)
+                timeouts.expired(later, 2000 + IDLE_MILLIS - 1) shouldBe null
+                timeouts.expired(later, 2000 + IDLE_MILLIS) shouldBe CallerTimeout.IDLE
+            }
+            it("is judged by the new time-out once the superseded one is over") {
+                val timeouts = CallerTimeouts(limits())
+                timeouts.onLimits(limits(idleMillis = 1000), 2000)
+                val later = idle.copy(lastProgressMillis = 2000 + IDLE_MILLIS)
+                timeouts.expired(later, later.lastProgressMillis + 1000) shouldBe null
+                timeouts.expired(later, later.lastProgressMillis + 1001) shouldBe CallerTimeout.IDLE
+            }
             it("is judged by a longer time-out at once") {
                 val timeouts = CallerTimeouts(limits(idleMillis = 1000))
-                timeouts.onLimits(limits())
+                timeouts.onLimits(limits(), 500)
                 timeouts.expired(idle, IDLE_MILLIS) shouldBe null
             }
+            it("is judged by the longest of several that were superseded") {
+                val timeouts = CallerTimeouts(limits())
+                listOf(5000L, 1000L, 2000L, 1000L).forEachIndexed { index, millis ->
+                    timeouts.onLimits(limits(idleMillis = millis), 100L * index)
+                }
+                timeouts.expired(idle, IDLE_MILLIS - 1) shouldBe null
+                timeouts.expired(idle, IDLE_MILLIS) shouldBe CallerTimeout.IDLE
+            }
+            it("is judged by a time-out as long as it lasted since it was last in force") {
+                val timeouts = CallerTimeouts(limits())
+                timeouts.onLimits(limits(idleMillis = 1000), 0)
+                timeouts.onLimits(limits(), 10_000)
+                timeouts.onLimits(limits(idleMillis = 1000), 20_000)
+                val later = idle.copy(lastProgressMillis = 20_000)
+                timeouts.expired(later, 20_000 + IDLE_MILLIS - 1) shouldBe null
+                timeouts.expired(later, 20_000 + IDLE_MILLIS) shouldBe CallerTimeout.IDLE
+            }
         }
         describe("a request that is received in part") {
             val receiving = idle.copy(isReceiving = true)
@@ -39,6 +76,13 @@
                 timeouts.expired(receiving, HEADER_MILLIS + 1) shouldBe
                     CallerTimeout.INCOMPLETE_REQUEST
             }
+            it("is judged by the time-out under which it began") {
+                val timeouts = CallerTimeouts(limits())
+                timeouts.onLimits(limits(headerMillis = 100), 1)
+                timeouts.expired(receiving, HEADER_MILLIS) shouldBe null
+                timeouts.expired(receiving, HEADER_MILLIS + 1) shouldBe
+                    CallerTimeout.INCOMPLETE_REQUEST
+            }
         }
         describe("a request that is processed or waits") {
             it("does not time out") {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -56,7 +56,7 @@
     /** Active configuration; null until the first one is loaded. */
     var configuration: TrafficConfiguration? = null
         set(value) {
-            value?.limits?.let(callerTimeouts::onLimits)
+            value?.limits?.let { onLimits(it, isFirst = field == null) }
             field = value
         }
 
@@ -64,7 +64,14 @@
     val callerLimits: CallerLimits get() = configuration?.limits ?: initialLimits
 
     /** Time-outs of callers' connections. */
-    val callerTimeouts = CallerTimeouts(initialLimits)
+    var callerTimeouts = CallerTimeouts(initialLimits)
+        private set
+
+    private fun onLimits(limits: CallerLimits, isFirst: Boolean) = if (isFirst) {
+        callerTimeouts = CallerTimeouts(limits)
+    } else {
+        callerTimeouts.onLimits(limits, monotonicMillis())
+    }
 
     /** Object kinds that have been listed at least once. */
     val listedKinds: MutableSet<ObjectKind> = EnumSet.noneOf(ObjectKind::class.java)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
@@ -106,6 +106,16 @@
             }
         }
         describe("a connection that is idle") {
+            // Guards against closing it while its caller may still use it.
+            it("stays open as long as the time-out that its caller knows") {
+                val gateway = gateway(limits())
+                connect(gateway).use { caller ->
+                    caller.exchange() shouldBe "HTTP/1.1 200 OK"
+                    gateway.setLimits(limits(idleMillis = SHORT_MILLIS))
+                    Thread.sleep(CHECKED_MILLIS)
+                    caller.exchange() shouldBe "HTTP/1.1 200 OK"
+                }
+            }
             it("is closed and reported after the time-out") {
                 val gateway = gateway(limits(idleMillis = SHORT_MILLIS))
                 connect(gateway).use { it.awaitClose() }
@@ -116,6 +126,27 @@
                 gateway.count("toucanspur.callers.cut") shouldBe 0
             }
         }
+        describe("a request that is received in part") {
+            val partial = mapOf(
+                "its body" to head("Content-Length: 5\r\n") + "he"
+            )
+            val rest = mapOf(
+                "its body" to "llo"
+            )
+            partial.forEach { (part, begin) ->
+                it("is judged by the time-out under which it began: $part") {
+                    val gateway = gateway(limits())
+                    connect(gateway).use { caller ->
+                        caller.send(begin)
+                        Thread.sleep(READ_MILLIS)
+                        val short = limits(headerMillis = SHORT_MILLIS, idleMillis = SHORT_MILLIS)
+                        gateway.setLimits(short)
+                        Thread.sleep(CHECKED_MILLIS)
+                        caller.exchange(rest.getValue(part)) shouldBe "HTTP/1.1 200 OK"
+                    }
+                }
+            }
+        }
         describe("an internal error in a connection") {
             it("is reported with its cause") {
                 val gateway = gateway(limits())
