Judge a request by the size limits in force when its head arrived

Callers saw 413 for a request whose head had arrived under a higher limit of bodies, and 431 on kept connections for what the configuration in force allows.

Cause: the limit of bodies was read again with each part of a body; the limit of headers was fixed when the connection was accepted, so a raised one never reached connections that callers keep. Change: the limit of bodies is kept from the arrival of the head; the decoder of a connection is replaced between two requests when the limit of headers has changed.

Evidence: CallerTimeoutTest "is judged by the limit of bodies under which its head arrived" failed before with "HTTP/1.1 413 Request Entity Too Large", "is judged by a limit of headers that was raised on its open connection" with "HTTP/1.1 431 Request Header Fields Too Large". Both pass now, as does GatewayTest.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -35,7 +35,7 @@
 
 /** Receives the requests and state changes of connections. */
 interface CallerConnectionListener {
-    /** Maximum size of a request body. */
+    /** Maximum size of the body of a request whose head arrives now. */
     val bodyMaxBytes: Int
 
     /** Whether responses announce that the connection will be closed. */
@@ -64,6 +64,10 @@
     private var head: HttpRequest? = null
     private val bodyParts = ArrayList<ByteBuf>()
     private var bodyBytes = 0
+    private var bodyMaxBytes = 0
+
+    // Limits under which the heads arrived that are not handled yet.
+    private val arrivedBodyMaxBytes = ArrayDeque<Int>()
     private val queuedMessages = ArrayDeque<Any>()
     private var isKeepAlive = true
     private var isResponding = false
@@ -120,8 +124,12 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         lastActiveMillis = monotonicMillis()
+        if (isInputDiscarded) {
+            ReferenceCountUtil.release(message)
+            return
+        }
+        if (message is HttpRequest) arrivedBodyMaxBytes.addLast(listener.bodyMaxBytes)
         when {
-            isInputDiscarded -> ReferenceCountUtil.release(message)
             isResponding || queuedMessages.isNotEmpty() -> {
                 queuedMessages.addLast(message)
                 ctx.channel().config().isAutoRead = queuedMessages.size < QUEUED_MESSAGES_MAX
@@ -139,6 +147,7 @@
     }
 
     private fun onHead(request: HttpRequest): Boolean {
+        bodyMaxBytes = arrivedBodyMaxBytes.removeFirst()
         if (request.decoderResult().isFailure) {
             val cause = request.decoderResult().cause()
             val isTooLong = cause is TooLongFrameException
@@ -153,7 +162,7 @@
         }
         head = request
         isKeepAlive = HttpUtil.isKeepAlive(request)
-        if (HttpUtil.getContentLength(request, 0L) > listener.bodyMaxBytes) {
+        if (HttpUtil.getContentLength(request, 0L) > bodyMaxBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             return false
         }
@@ -172,7 +181,7 @@
             return
         }
         bodyBytes += content.content().readableBytes()
-        if (bodyBytes > listener.bodyMaxBytes) {
+        if (bodyBytes > bodyMaxBytes) {
             content.release()
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             return
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -3,6 +3,7 @@
  */
 package org.toucanspur.daemon.gateway
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
 import java.net.InetSocketAddress
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
@@ -57,12 +59,8 @@
     }
 
     private fun initializeChannel(channel: Channel) {
-        val headerMax = state.callerLimits.headerMaxBytes
-        val config = HttpDecoderConfig()
-            .setMaxInitialLineLength(headerMax)
-            .setMaxHeaderSize(headerMax)
         channel.pipeline().addLast(
-            StrictRequestDecoder(config),
+            StrictRequestDecoder { state.callerLimits.headerMaxBytes },
             HttpResponseEncoder(),
             CallerConnection(this)
         )
@@ -147,9 +145,42 @@
 
 /**
  * Rejects a request with both Content-Length and Transfer-Encoding: two parsers may disagree on
- * where it ends, which allows request smuggling.
+ * where it ends, which allows request smuggling. Each request is judged by the value of
+ * [currentHeaderMaxBytes] when it begins to arrive; a decoder has one limit, so it is replaced.
  */
-private class StrictRequestDecoder(config: HttpDecoderConfig) : HttpRequestDecoder(config) {
+private class StrictRequestDecoder(
+    private val headerMaxBytes: Int,
+    private val currentHeaderMaxBytes: () -> Int
+) : HttpRequestDecoder(
+    HttpDecoderConfig()
+        .setMaxInitialLineLength(headerMaxBytes)
+        .setMaxHeaderSize(headerMaxBytes)
+) {
+    private var isBetweenRequests = true
+
+    constructor(currentHeaderMaxBytes: () -> Int) :
+        this(currentHeaderMaxBytes(), currentHeaderMaxBytes)
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (isBetweenRequests && currentHeaderMaxBytes() != headerMaxBytes) {
+            context.pipeline().replace(this, null, StrictRequestDecoder(currentHeaderMaxBytes))
+            context.fireChannelRead(message)
+        } else {
+            super.channelRead(context, message)
+            if (actualReadableBytes() > 0) isBetweenRequests = false
+        }
+    }
+
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        isBetweenRequests = false
+        return super.createMessage(initialLine)
+    }
+
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        super.decode(context, buffer, out)
+        if (out.lastOrNull() is LastHttpContent) isBetweenRequests = true
+    }
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
 }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
@@ -147,6 +147,28 @@
                 }
             }
         }
+        describe("a request under way while the size limits change") {
+            it("is judged by the limit of bodies under which its head arrived") {
+                val gateway = gateway(limits())
+                connect(gateway).use { caller ->
+                    caller.send(head("Content-Length: 5\r\nExpect: 100-continue\r\n"))
+                    caller.readHead() shouldContain "HTTP/1.1 100"
+                    gateway.setLimits(limits(bodyMaxBytes = 1))
+                    caller.exchange("hello") shouldBe "HTTP/1.1 200 OK"
+                }
+            }
+            // Guards against refusing on a kept connection what the configuration allows.
+            it("is judged by a limit of headers that was raised on its open connection") {
+                val gateway = gateway(limits(headerMaxBytes = LARGE_HEADER_BYTES / 2))
+                connect(gateway).use { caller ->
+                    caller.exchange() shouldBe "HTTP/1.1 200 OK"
+                    gateway.setLimits(limits())
+                    val header = "X-Large: ${"~".repeat(LARGE_HEADER_BYTES)}\r\n"
+                    caller.exchange(head("${header}Content-Length: 0\r\n"))
+                        .shouldBe("HTTP/1.1 200 OK")
+                }
+            }
+        }
         describe("an internal error in a connection") {
             it("is reported with its cause") {
                 val gateway = gateway(limits())
