Read what has arrived before a connection is closed as idle

Callers saw a connection close without a response although their whole request had arrived before.

Cause: the check for time-outs judged by the last read. After a pause of the process, or a task that holds up the event loop right before the check, what arrived meanwhile lies unread in the socket; closing it resets the connection. A planned stop closed connections the same way. Change: a connection that is due to be closed first reads what has arrived and writes what its socket accepts, and is judged again.

Evidence: CallerTimeoutTest "stays open if a request has arrived while the event loop was held up" failed before: connection closed in place of "HTTP/1.1 200 OK". It passes now, as does GatewayTest.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.nio.AbstractNioChannel
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -113,6 +114,13 @@
         )
     }
 
+    /** Reads what has arrived and writes what the socket accepts, before the selector reports it. */
+    fun transfer() {
+        val unsafe = context.channel().unsafe() as? AbstractNioChannel.NioUnsafe ?: return
+        if (context.channel().isActive) unsafe.forceFlush()
+        if (context.channel().isActive && context.channel().config().isAutoRead) unsafe.read()
+    }
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -89,15 +89,19 @@
         calls[connection]?.takeUnless { it.isFinished }?.setReading(isWritable)
     }
 
-    internal fun closeTimedOut() {
-        val now = monotonicMillis()
-        connections.toList().forEach { connection ->
-            val activity = connection.observe()
-            state.callerTimeouts.expired(activity, now)?.let { timeout ->
-                report(timeout, activity, now)
-                connection.close()
-            }
-        }
+    internal fun closeTimedOut() = connections.toList().forEach { connection ->
+        if (expired(connection) == null) return@forEach
+        // After a pause or a long task, the selector has not been asked since the request arrived.
+        connection.transfer()
+        if (connection in connections) expired(connection)?.let { close(connection, it) }
+    }
+
+    private fun expired(connection: CallerConnection): CallerTimeout? =
+        state.callerTimeouts.expired(connection.observe(), monotonicMillis())
+
+    private fun close(connection: CallerConnection, timeout: CallerTimeout) {
+        report(timeout, connection.observe(), monotonicMillis())
+        connection.close()
     }
 
     private fun report(timeout: CallerTimeout, activity: CallerActivity, nowMillis: Long) {
@@ -126,7 +130,10 @@
     /** Stops listening and closes idle connections. */
     fun closeIdle() {
         listener?.close()
-        connections.filter { it.isDrained }.forEach { it.close() }
+        connections.filter { it.isDrained }.forEach {
+            it.transfer()
+            if (it.isDrained) it.close()
+        }
     }
 
     /** Whether a request is being received or processed, or a response is not yet written. */
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
@@ -125,6 +125,19 @@
                 gateway.count("toucanspur.callers.timed.out") shouldBe 1
                 gateway.count("toucanspur.callers.cut") shouldBe 0
             }
+            // Guards against closing a connection whose request lies unread in the socket.
+            it("stays open if a request has arrived while the event loop was held up") {
+                val idleMillis = 2000L
+                val gateway = gateway(limits(idleMillis = idleMillis))
+                connect(gateway).use { caller ->
+                    caller.exchange() shouldBe "HTTP/1.1 200 OK"
+                    gateway.checkTimeouts {
+                        caller.send(head())
+                        Thread.sleep(idleMillis + 1)
+                    }
+                    caller.readResponse() shouldBe "HTTP/1.1 200 OK"
+                }
+            }
         }
         describe("a request that is received in part") {
             val partial = mapOf(
@@ -145,6 +158,20 @@
                         caller.exchange(rest.getValue(part)) shouldBe "HTTP/1.1 200 OK"
                     }
                 }
+                it("is executed if its rest arrived while the event loop was held up: $part") {
+                    val headerMillis = 2000L
+                    val gateway = gateway(limits(headerMillis = headerMillis))
+                    connect(gateway).use { caller ->
+                        caller.exchange() shouldBe "HTTP/1.1 200 OK"
+                        caller.send(begin)
+                        Thread.sleep(READ_MILLIS)
+                        gateway.checkTimeouts {
+                            caller.send(rest.getValue(part))
+                            Thread.sleep(headerMillis + 1)
+                        }
+                        caller.readResponse() shouldBe "HTTP/1.1 200 OK"
+                    }
+                }
             }
         }
         describe("a request under way while the size limits change") {
