Answer a request that is received in part with 408 at its time-out

Callers saw a connection close without a response while they still sent a request, so they could not know that it had not run. One whose head was not complete was closed by the idle time-out instead.

Cause: the header time-out closed the connection, and covered the body only, because a head counted from its last line. Change: the decoder tells the connection that a head has begun to arrive; the time-out of a head starts with its first byte. When it passes, the caller gets 408 with Connection: close. A planned stop waits for such a request as for one whose body is incomplete.

Evidence: CallerTimeoutTest "gets 408 at its time-out" failed before for a head, a line of a head and a body: connection closed without a byte, for heads only after 15 s. "is judged by the time-out under which it began" failed before for heads as well. They pass now, as does GatewayTest.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -73,6 +73,7 @@
     private var isKeepAlive = true
     private var isResponding = false
     private var isInputDiscarded = false
+    private var isReceivingHead = false
     private var lastActiveMillis = monotonicMillis()
     private var deadlineMillis = 0L
     private var observedUnsentBytes = 0L
@@ -81,7 +82,8 @@
     val isIdle: Boolean get() = head == null && !isResponding
 
     /** Whether the connection is idle and all responses are written to the socket. */
-    val isDrained: Boolean get() = isIdle && queuedMessages.isEmpty() && !hasPendingWrites
+    val isDrained: Boolean
+        get() = isIdle && !isReading && queuedMessages.isEmpty() && !hasPendingWrites
 
     /** Number of response bytes that the socket has not accepted yet. */
     val unsentBytes: Long
@@ -90,11 +92,21 @@
 
     private val hasPendingWrites: Boolean get() = unsentBytes > 0
 
-    private val isReading: Boolean get() = !isResponding && head != null
+    private val isReading: Boolean
+        get() = !isResponding && !isInputDiscarded && (head != null || isReceivingHead)
 
     /** Whether the write buffer of the connection has room. */
     val isWritable: Boolean get() = context.channel().isWritable
 
+    /** Records whether the head of a request [isReceived] in part; its time-out starts once. */
+    fun onPartialHead(isReceived: Boolean) {
+        if (isReceived && !isReceivingHead) lastActiveMillis = monotonicMillis()
+        isReceivingHead = isReceived
+    }
+
+    /** Refuses a request that was received in part, and closes the connection. */
+    fun refuseIncomplete() = reject(HttpResponseStatus.REQUEST_TIMEOUT)
+
     /** Keeps the connection open for a response that is due by [millis]. */
     fun extendDeadline(millis: Long) {
         deadlineMillis = maxOf(deadlineMillis, millis)
@@ -114,7 +126,7 @@
         )
     }
 
-    /** Reads what has arrived and writes what the socket accepts, before the selector reports it. */
+    /** Reads what has arrived and writes what the socket accepts, without waiting for a select. */
     fun transfer() {
         val unsafe = context.channel().unsafe() as? AbstractNioChannel.NioUnsafe ?: return
         if (context.channel().isActive) unsafe.forceFlush()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
@@ -35,10 +35,10 @@
     fun onRefused(status: Int) =
         registry.counter("toucanspur.requests.refused", "status", status.toString()).increment()
 
-    /** Records a connection that a time-out closed although [unsentBytes] were not sent yet. */
-    fun onTimedOut(reason: String, unsentBytes: Long) {
+    /** Records a connection that a time-out closed; [isCut] if it ended a response. */
+    fun onTimedOut(reason: String, isCut: Boolean) {
         registry.counter("toucanspur.callers.timed.out", "reason", reason).increment()
-        if (unsentBytes > 0) registry.counter("toucanspur.callers.cut").increment()
+        if (isCut) registry.counter("toucanspur.callers.cut").increment()
     }
 
     /**
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -59,10 +59,11 @@
     }
 
     private fun initializeChannel(channel: Channel) {
+        val connection = CallerConnection(this)
         channel.pipeline().addLast(
-            StrictRequestDecoder { state.callerLimits.headerMaxBytes },
+            StrictRequestDecoder(connection) { state.callerLimits.headerMaxBytes },
             HttpResponseEncoder(),
-            CallerConnection(this)
+            connection
         )
     }
 
@@ -101,17 +102,22 @@
 
     private fun close(connection: CallerConnection, timeout: CallerTimeout) {
         report(timeout, connection.observe(), monotonicMillis())
-        connection.close()
+        if (timeout == CallerTimeout.INCOMPLETE_REQUEST) {
+            connection.refuseIncomplete()
+        } else {
+            connection.close()
+        }
     }
 
     private fun report(timeout: CallerTimeout, activity: CallerActivity, nowMillis: Long) {
-        log.event(EventCode.CALLER_TIMED_OUT, isEssential = activity.unsentBytes > 0) {
+        val isCut = timeout == CallerTimeout.UNREAD_RESPONSE
+        log.event(EventCode.CALLER_TIMED_OUT, isEssential = isCut) {
             put("reason", timeout.reason)
             put("inactiveMillis", nowMillis - activity.lastProgressMillis)
             put("unsentBytes", activity.unsentBytes)
             put("configuration", state.configuration?.version ?: 0)
         }
-        metrics.onTimedOut(timeout.reason, activity.unsentBytes)
+        metrics.onTimedOut(timeout.reason, isCut)
     }
 
     override fun onInternalError(connection: CallerConnection, cause: Throwable) {
@@ -156,6 +162,7 @@
  * [currentHeaderMaxBytes] when it begins to arrive; a decoder has one limit, so it is replaced.
  */
 private class StrictRequestDecoder(
+    private val connection: CallerConnection,
     private val headerMaxBytes: Int,
     private val currentHeaderMaxBytes: () -> Int
 ) : HttpRequestDecoder(
@@ -163,29 +170,35 @@
         .setMaxInitialLineLength(headerMaxBytes)
         .setMaxHeaderSize(headerMaxBytes)
 ) {
-    private var isBetweenRequests = true
+    private var isInsideHead = false
+    private var isInsideBody = false
 
-    constructor(currentHeaderMaxBytes: () -> Int) :
-        this(currentHeaderMaxBytes(), currentHeaderMaxBytes)
+    constructor(connection: CallerConnection, currentHeaderMaxBytes: () -> Int) :
+        this(connection, currentHeaderMaxBytes(), currentHeaderMaxBytes)
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        val isBetweenRequests = !isInsideHead && !isInsideBody
         if (isBetweenRequests && currentHeaderMaxBytes() != headerMaxBytes) {
-            context.pipeline().replace(this, null, StrictRequestDecoder(currentHeaderMaxBytes))
+            val successor = StrictRequestDecoder(connection, currentHeaderMaxBytes)
+            context.pipeline().replace(this, null, successor)
             context.fireChannelRead(message)
-        } else {
-            super.channelRead(context, message)
-            if (actualReadableBytes() > 0) isBetweenRequests = false
+            return
         }
+        super.channelRead(context, message)
+        if (actualReadableBytes() > 0 && !isInsideBody) isInsideHead = true
+        connection.onPartialHead(isInsideHead)
     }
 
     override fun createMessage(initialLine: Array<String>): HttpMessage {
-        isBetweenRequests = false
+        isInsideHead = true
         return super.createMessage(initialLine)
     }
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         super.decode(context, buffer, out)
-        if (out.lastOrNull() is LastHttpContent) isBetweenRequests = true
+        val last = out.lastOrNull() ?: return
+        isInsideHead = false
+        isInsideBody = last !is LastHttpContent
     }
 
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldContainOnlyOnce
 import java.net.Socket
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
@@ -141,9 +142,13 @@
         }
         describe("a request that is received in part") {
             val partial = mapOf(
+                "its head" to "POST /once/ HTTP/1.1\r\nHost: h\r\nId: ",
+                "a line of its head" to "POST /once/ HTTP/1.1\r\nHost: h\r\n",
                 "its body" to head("Content-Length: 5\r\n") + "he"
             )
             val rest = mapOf(
+                "its head" to "r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n",
+                "a line of its head" to "Id: r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n",
                 "its body" to "llo"
             )
             partial.forEach { (part, begin) ->
@@ -158,6 +163,18 @@
                         caller.exchange(rest.getValue(part)) shouldBe "HTTP/1.1 200 OK"
                     }
                 }
+                // Guards against closing the connection of a request without a response.
+                it("gets 408 at its time-out: $part") {
+                    val gateway = gateway(limits(headerMillis = SHORT_MILLIS))
+                    connect(gateway).use { caller ->
+                        caller.send(begin)
+                        val response = caller.getInputStream().readBytes().decodeToString()
+                        response shouldContainOnlyOnce "HTTP/1.1 408"
+                        response.lowercase() shouldContain "connection: close"
+                    }
+                    val event = gateway.events.next(EventCode.CALLER_TIMED_OUT)
+                    event?.get("reason")?.jsonPrimitive?.content shouldBe "request is incomplete"
+                }
                 it("is executed if its rest arrived while the event loop was held up: $part") {
                     val headerMillis = 2000L
                     val gateway = gateway(limits(headerMillis = headerMillis))
