Let a response reach a caller that still sends when its connection closes

Callers saw a reset in place of a response: 413, 431, 400 and any response with Connection: close were lost when the caller was still sending.

Cause: the connection was closed as soon as the response was written; with unread input, the kernel resets it, which discards what the caller has not received yet. Change: after the response only the output is shut down, so that the caller sees the end at once; its input is discarded until it closes the connection, for 2 s at most. Requests before a rejected one get their responses first, as before.

Evidence: RejectedRequestTest "gets its response" failed before for 413, 431, 400 and Connection: close with "java.net.SocketException: Broken pipe". It passes now, as do CallerTimeoutTest, CallerConnectionTest and GatewayTest.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -7,10 +7,10 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.nio.AbstractNioChannel
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -26,7 +26,9 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.ScheduledFuture
 import java.io.IOException
+import java.util.concurrent.TimeUnit
 import org.toucanspur.core.gateway.CallerActivity
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.daemon.monotonicMillis
@@ -73,6 +75,7 @@
     private var isKeepAlive = true
     private var isResponding = false
     private var isInputDiscarded = false
+    private var lingerTimer: ScheduledFuture<*>? = null
     private var isReceivingHead = false
     private var lastActiveMillis = monotonicMillis()
     private var deadlineMillis = 0L
@@ -83,7 +86,11 @@
 
     /** Whether the connection is idle and all responses are written to the socket. */
     val isDrained: Boolean
-        get() = isIdle && !isReading && queuedMessages.isEmpty() && !hasPendingWrites
+        get() = isIdle && !isReading && !isServing && !hasPendingWrites
+
+    // Whether a request or the end of the connection is due from this side.
+    private val isServing: Boolean
+        get() = isResponding || queuedMessages.isNotEmpty() || lingerTimer != null
 
     /** Number of response bytes that the socket has not accepted yet. */
     val unsentBytes: Long
@@ -119,7 +126,7 @@
         observedUnsentBytes = unsent
         return CallerActivity(
             isReceiving = isReading,
-            isServing = isResponding || queuedMessages.isNotEmpty(),
+            isServing = isServing,
             unsentBytes = unsent,
             lastProgressMillis = lastActiveMillis,
             deadlineMillis = deadlineMillis
@@ -298,7 +305,9 @@
         lastActiveMillis = monotonicMillis()
         if (!isKeepAlive) {
             isInputDiscarded = true
-            future.addListener(ChannelFutureListener.CLOSE)
+            releaseQueuedMessages()
+            context.channel().config().isAutoRead = true
+            future.addListener { closeAfterInput(it.isSuccess) }
             return
         }
         // Deferred, because the code that ends the response may still have cleanup to do.
@@ -307,6 +316,24 @@
         }
     }
 
+    // Closing a socket with unread input resets the connection, which may destroy the response on
+    // its way. So the caller sees the end first, and its input is discarded until it closes.
+    private fun closeAfterInput(isWritten: Boolean) {
+        val channel = context.channel()
+        if (!isWritten || channel !is DuplexChannel || !channel.isActive) {
+            context.close()
+            return
+        }
+        channel.shutdownOutput()
+        lingerTimer = context.executor()
+            .schedule({ context.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun releaseQueuedMessages() {
+        queuedMessages.forEach { ReferenceCountUtil.release(it) }
+        queuedMessages.clear()
+    }
+
     private fun readQueuedMessages() {
         while (!isResponding && queuedMessages.isNotEmpty()) onMessage(queuedMessages.removeFirst())
         if (queuedMessages.isEmpty()) context.channel().config().isAutoRead = true
@@ -316,8 +343,8 @@
         listener.onWritabilityChanged(this, ctx.channel().isWritable)
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        queuedMessages.forEach { ReferenceCountUtil.release(it) }
-        queuedMessages.clear()
+        lingerTimer?.cancel(false)
+        releaseQueuedMessages()
         bodyParts.forEach { it.release() }
         bodyParts.clear()
         listener.onDisconnect(this)
@@ -331,6 +358,9 @@
 
     private companion object {
         const val QUEUED_MESSAGES_MAX = 16
+
+        // Several round trips, for callers that close as soon as they have read their response.
+        const val LINGER_MILLIS = 2000L
         const val NO_CONTENT = 204
         const val NOT_MODIFIED = 304
     }
