--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -7,9 +7,10 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.nio.AbstractNioChannel
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -25,7 +26,10 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.ScheduledFuture
 import java.io.IOException
+import java.util.concurrent.TimeUnit
+import org.toucanspur.core.gateway.CallerActivity
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.daemon.monotonicMillis
 
@@ -34,7 +38,7 @@
 
 /** Receives the requests and state changes of connections. */
 interface CallerConnectionListener {
-    /** Maximum size of a request body. */
+    /** Maximum size of the body of a request whose head arrives now. */
     val bodyMaxBytes: Int
 
     /** Whether responses announce that the connection will be closed. */
@@ -63,33 +67,79 @@
     private var head: HttpRequest? = null
     private val bodyParts = ArrayList<ByteBuf>()
     private var bodyBytes = 0
+    private var bodyMaxBytes = 0
+
+    // Limits under which the heads arrived that are not handled yet.
+    private val arrivedBodyMaxBytes = ArrayDeque<Int>()
     private val queuedMessages = ArrayDeque<Any>()
     private var isKeepAlive = true
     private var isResponding = false
     private var isInputDiscarded = false
-
-    /** Monotonic time of the last read or of the end of the last response. */
-    var lastActiveMillis = monotonicMillis()
-        private set
+    private var lingerTimer: ScheduledFuture<*>? = null
+    private var isReceivingHead = false
+    private var lastActiveMillis = monotonicMillis()
+    private var deadlineMillis = 0L
+    private var observedUnsentBytes = 0L
 
     /** Whether no request is being received or processed. */
     val isIdle: Boolean get() = head == null && !isResponding
 
     /** Whether the connection is idle and all responses are written to the socket. */
-    val isDrained: Boolean get() = isIdle && queuedMessages.isEmpty() && !hasPendingWrites
+    val isDrained: Boolean
+        get() = isIdle && !isReading && !isServing && !hasPendingWrites
+
+    // Whether a request or the end of the connection is due from this side.
+    private val isServing: Boolean
+        get() = isResponding || queuedMessages.isNotEmpty() || lingerTimer != null
 
     /** Number of response bytes that the socket has not accepted yet. */
     val unsentBytes: Long
-        get() = context.channel().unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+        get() = context.channel().unsafe().outboundBuffer()
+            ?.let { it.totalPendingWriteBytes() - it.currentProgress() } ?: 0
 
     private val hasPendingWrites: Boolean get() = unsentBytes > 0
 
-    /** Whether a request has been received in part. */
-    val isReading: Boolean get() = !isResponding && head != null
+    private val isReading: Boolean
+        get() = !isResponding && !isInputDiscarded && (head != null || isReceivingHead)
 
     /** Whether the write buffer of the connection has room. */
     val isWritable: Boolean get() = context.channel().isWritable
 
+    /** Records whether the head of a request [isReceived] in part; its time-out starts once. */
+    fun onPartialHead(isReceived: Boolean) {
+        if (isReceived && !isReceivingHead) lastActiveMillis = monotonicMillis()
+        isReceivingHead = isReceived
+    }
+
+    /** Refuses a request that was received in part, and closes the connection. */
+    fun refuseIncomplete() = reject(HttpResponseStatus.REQUEST_TIMEOUT)
+
+    /** Keeps the connection open for a response that is due by [millis]. */
+    fun extendDeadline(millis: Long) {
+        deadlineMillis = maxOf(deadlineMillis, millis)
+    }
+
+    /** Returns what is under way; bytes that were sent since the last call are progress. */
+    fun observe(): CallerActivity {
+        val unsent = unsentBytes
+        if (unsent < observedUnsentBytes) lastActiveMillis = monotonicMillis()
+        observedUnsentBytes = unsent
+        return CallerActivity(
+            isReceiving = isReading,
+            isServing = isServing,
+            unsentBytes = unsent,
+            lastProgressMillis = lastActiveMillis,
+            deadlineMillis = deadlineMillis
+        )
+    }
+
+    /** Reads what has arrived and writes what the socket accepts, without waiting for a select. */
+    fun transfer() {
+        val unsafe = context.channel().unsafe() as? AbstractNioChannel.NioUnsafe ?: return
+        if (context.channel().isActive) unsafe.forceFlush()
+        if (context.channel().isActive && context.channel().config().isAutoRead) unsafe.read()
+    }
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
@@ -101,8 +151,12 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         lastActiveMillis = monotonicMillis()
+        if (isInputDiscarded) {
+            ReferenceCountUtil.release(message)
+            return
+        }
+        if (message is HttpRequest) arrivedBodyMaxBytes.addLast(listener.bodyMaxBytes)
         when {
-            isInputDiscarded -> ReferenceCountUtil.release(message)
             isResponding || queuedMessages.isNotEmpty() -> {
                 queuedMessages.addLast(message)
                 ctx.channel().config().isAutoRead = queuedMessages.size < QUEUED_MESSAGES_MAX
@@ -120,6 +174,7 @@
     }
 
     private fun onHead(request: HttpRequest): Boolean {
+        bodyMaxBytes = arrivedBodyMaxBytes.removeFirst()
         if (request.decoderResult().isFailure) {
             val cause = request.decoderResult().cause()
             val isTooLong = cause is TooLongFrameException
@@ -134,7 +189,7 @@
         }
         head = request
         isKeepAlive = HttpUtil.isKeepAlive(request)
-        if (HttpUtil.getContentLength(request, 0L) > listener.bodyMaxBytes) {
+        if (HttpUtil.getContentLength(request, 0L) > bodyMaxBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             return false
         }
@@ -153,7 +208,7 @@
             return
         }
         bodyBytes += content.content().readableBytes()
-        if (bodyBytes > listener.bodyMaxBytes) {
+        if (bodyBytes > bodyMaxBytes) {
             content.release()
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             return
@@ -250,7 +305,9 @@
         lastActiveMillis = monotonicMillis()
         if (!isKeepAlive) {
             isInputDiscarded = true
-            future.addListener(ChannelFutureListener.CLOSE)
+            releaseQueuedMessages()
+            context.channel().config().isAutoRead = true
+            future.addListener { closeAfterInput(it.isSuccess) }
             return
         }
         // Deferred, because the code that ends the response may still have cleanup to do.
@@ -259,6 +316,24 @@
         }
     }
 
+    // Closing a socket with unread input resets the connection, which may destroy the response on
+    // its way. So the caller sees the end first, and its input is discarded until it closes.
+    private fun closeAfterInput(isWritten: Boolean) {
+        val channel = context.channel()
+        if (!isWritten || channel !is DuplexChannel || !channel.isActive) {
+            context.close()
+            return
+        }
+        channel.shutdownOutput()
+        lingerTimer = context.executor()
+            .schedule({ context.close() }, LINGER_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun releaseQueuedMessages() {
+        queuedMessages.forEach { ReferenceCountUtil.release(it) }
+        queuedMessages.clear()
+    }
+
     private fun readQueuedMessages() {
         while (!isResponding && queuedMessages.isNotEmpty()) onMessage(queuedMessages.removeFirst())
         if (queuedMessages.isEmpty()) context.channel().config().isAutoRead = true
@@ -268,8 +343,8 @@
         listener.onWritabilityChanged(this, ctx.channel().isWritable)
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        queuedMessages.forEach { ReferenceCountUtil.release(it) }
-        queuedMessages.clear()
+        lingerTimer?.cancel(false)
+        releaseQueuedMessages()
         bodyParts.forEach { it.release() }
         bodyParts.clear()
         listener.onDisconnect(this)
@@ -283,6 +358,9 @@
 
     private companion object {
         const val QUEUED_MESSAGES_MAX = 16
+
+        // Several round trips, for callers that close as soon as they have read their response.
+        const val LINGER_MILLIS = 2000L
         const val NO_CONTENT = 204
         const val NOT_MODIFIED = 304
     }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -3,6 +3,7 @@
  */
 package org.toucanspur.daemon.gateway
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
@@ -20,9 +21,12 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
 import java.net.InetSocketAddress
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
+import org.toucanspur.core.gateway.CallerActivity
+import org.toucanspur.core.gateway.CallerTimeout
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
@@ -44,7 +48,7 @@
         private set
 
     override val bodyMaxBytes: Int
-        get() = state.configuration?.limits?.bodyMaxBytes ?: DEFAULT_BODY_BYTES
+        get() = state.callerLimits.bodyMaxBytes
 
     /** Starts listening; returns the bound address. */
     fun start(address: InetSocketAddress): InetSocketAddress {
@@ -55,14 +59,11 @@
     }
 
     private fun initializeChannel(channel: Channel) {
-        val headerMax = state.configuration?.limits?.headerMaxBytes ?: DEFAULT_HEADER_BYTES
-        val config = HttpDecoderConfig()
-            .setMaxInitialLineLength(headerMax)
-            .setMaxHeaderSize(headerMax)
+        val connection = CallerConnection(this)
         channel.pipeline().addLast(
-            StrictRequestDecoder(config),
+            StrictRequestDecoder(connection) { state.callerLimits.headerMaxBytes },
             HttpResponseEncoder(),
-            CallerConnection(this)
+            connection
         )
     }
 
@@ -75,8 +76,9 @@
     }
 
     override fun onRequest(connection: CallerConnection, request: BufferedRequest) {
-        val call = dispatcher.onRequest(connection, request)
-        if (call != null && !call.isFinished) calls[connection] = call
+        val call = dispatcher.onRequest(connection, request) ?: return
+        connection.extendDeadline(call.deadlineMillis)
+        if (!call.isFinished) calls[connection] = call
     }
 
     override fun onDisconnect(connection: CallerConnection) {
@@ -88,32 +90,34 @@
         calls[connection]?.takeUnless { it.isFinished }?.setReading(isWritable)
     }
 
-    private fun closeTimedOut() {
-        val limits = state.configuration?.limits
-        val idleMillis = limits?.idleTimeoutMillis ?: DEFAULT_IDLE_MILLIS
-        val headerMillis = limits?.headerTimeoutMillis ?: DEFAULT_HEADER_MILLIS
-        val now = monotonicMillis()
-        connections.toList().forEach { connection ->
-            val inactiveMillis = now - connection.lastActiveMillis
-            when {
-                connection.isReading && inactiveMillis > headerMillis ->
-                    closeTimedOut(connection, "request is incomplete", inactiveMillis)
-                connection.isIdle && inactiveMillis > idleMillis ->
-                    closeTimedOut(connection, "idle", inactiveMillis)
-            }
+    internal fun closeTimedOut() = connections.toList().forEach { connection ->
+        if (expired(connection) == null) return@forEach
+        // After a pause or a long task, the selector has not been asked since the request arrived.
+        connection.transfer()
+        if (connection in connections) expired(connection)?.let { close(connection, it) }
+    }
+
+    private fun expired(connection: CallerConnection): CallerTimeout? =
+        state.callerTimeouts.expired(connection.observe(), monotonicMillis())
+
+    private fun close(connection: CallerConnection, timeout: CallerTimeout) {
+        report(timeout, connection.observe(), monotonicMillis())
+        if (timeout == CallerTimeout.INCOMPLETE_REQUEST) {
+            connection.refuseIncomplete()
+        } else {
+            connection.close()
         }
     }
 
-    private fun closeTimedOut(connection: CallerConnection, reason: String, inactiveMillis: Long) {
-        val unsentBytes = connection.unsentBytes
-        log.event(EventCode.CALLER_TIMED_OUT, isEssential = unsentBytes > 0) {
-            put("reason", reason)
-            put("inactiveMillis", inactiveMillis)
-            put("unsentBytes", unsentBytes)
+    private fun report(timeout: CallerTimeout, activity: CallerActivity, nowMillis: Long) {
+        val isCut = timeout == CallerTimeout.UNREAD_RESPONSE
+        log.event(EventCode.CALLER_TIMED_OUT, isEssential = isCut) {
+            put("reason", timeout.reason)
+            put("inactiveMillis", nowMillis - activity.lastProgressMillis)
+            put("unsentBytes", activity.unsentBytes)
             put("configuration", state.configuration?.version ?: 0)
         }
-        metrics.onTimedOut(reason, unsentBytes)
-        connection.close()
+        metrics.onTimedOut(timeout.reason, isCut)
     }
 
     override fun onInternalError(connection: CallerConnection, cause: Throwable) {
@@ -132,29 +136,71 @@
     /** Stops listening and closes idle connections. */
     fun closeIdle() {
         listener?.close()
-        connections.filter { it.isDrained }.forEach { it.close() }
+        connections.filter { it.isDrained }.forEach {
+            it.transfer()
+            if (it.isDrained) it.close()
+        }
     }
 
     /** Whether a request is being received or processed, or a response is not yet written. */
     val isServing: Boolean get() = connections.any { !it.isDrained }
 
+    /** Number of response bytes that the sockets of callers have not accepted yet. */
+    val unsentBytes: Long get() = connections.sumOf { it.unsentBytes }
+
     /** Number of open connections. */
     val connectionCount: Int get() = connections.size
 
     private companion object {
-        const val DEFAULT_BODY_BYTES = 4_194_304
-        const val DEFAULT_HEADER_BYTES = 16_384
-        const val DEFAULT_IDLE_MILLIS = 15_000L
-        const val DEFAULT_HEADER_MILLIS = 3000L
         const val TIMEOUT_CHECK_MILLIS = 500L
     }
 }
 
 /**
  * Rejects a request with both Content-Length and Transfer-Encoding: two parsers may disagree on
- * where it ends, which allows request smuggling.
+ * where it ends, which allows request smuggling. Each request is judged by the value of
+ * [currentHeaderMaxBytes] when it begins to arrive; a decoder has one limit, so it is replaced.
  */
-private class StrictRequestDecoder(config: HttpDecoderConfig) : HttpRequestDecoder(config) {
+private class StrictRequestDecoder(
+    private val connection: CallerConnection,
+    private val headerMaxBytes: Int,
+    private val currentHeaderMaxBytes: () -> Int
+) : HttpRequestDecoder(
+    HttpDecoderConfig()
+        .setMaxInitialLineLength(headerMaxBytes)
+        .setMaxHeaderSize(headerMaxBytes)
+) {
+    private var isInsideHead = false
+    private var isInsideBody = false
+
+    constructor(connection: CallerConnection, currentHeaderMaxBytes: () -> Int) :
+        this(connection, currentHeaderMaxBytes(), currentHeaderMaxBytes)
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        val isBetweenRequests = !isInsideHead && !isInsideBody
+        if (isBetweenRequests && currentHeaderMaxBytes() != headerMaxBytes) {
+            val successor = StrictRequestDecoder(connection, currentHeaderMaxBytes)
+            context.pipeline().replace(this, null, successor)
+            context.fireChannelRead(message)
+            return
+        }
+        super.channelRead(context, message)
+        if (actualReadableBytes() > 0 && !isInsideBody) isInsideHead = true
+        connection.onPartialHead(isInsideHead)
+    }
+
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        isInsideHead = true
+        return super.createMessage(initialLine)
+    }
+
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        super.decode(context, buffer, out)
+        val last = out.lastOrNull() ?: return
+        isInsideHead = false
+        isInsideBody = last !is LastHttpContent
+    }
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
 }
