--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import java.net.InetSocketAddress
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
 import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallerLimits
@@ -10,6 +11,7 @@
 import org.toucanspur.core.gateway.EndpointRecord
 import org.toucanspur.core.gateway.EngineTiming
 import org.toucanspur.core.gateway.Organisation
+import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.RouteTarget
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.TrafficRoute
@@ -93,36 +95,77 @@
     startedAtMillis = 0
 )
 
+/** What a [TestGateway] reads from a version of the configuration. */
+data class TestConfiguration(
+    val version: Long,
+    val routes: List<TrafficRoute>,
+    val services: List<TrafficService>,
+    val limits: CallerLimits,
+    val organisations: List<Organisation>
+) {
+    /** The configuration with each route changed by [change]. */
+    fun mapRoutes(change: (TrafficRoute) -> TrafficRoute) = copy(routes = routes.map(change))
+
+    /** The configuration as the gateway uses it. */
+    fun toTraffic() = TrafficConfiguration(
+        version,
+        routes,
+        services.associateBy { it.id },
+        limits,
+        organisations
+    )
+}
+
 /** A gateway in front of scripted endpoints on the ports [endpoints]. */
 class TestGateway(
     private val endpoints: List<Int>,
     isFresh: Boolean = true,
     isListed: Boolean = true,
-    private val targetMillis: Long = CALL_SECONDS * 1000L,
-    private val bodyMaxBytes: Int = 1000,
-    queueMax: Int = 256
+    targetMillis: Long = CALL_SECONDS * 1000L,
+    bodyMaxBytes: Int = 1000,
+    queueMax: Int = 256,
+    codec: RequestCodec = TestRequestCodec,
+    endpointsMax: Int = 2
 ) {
-    private val loop = NettyEventLoop()
+    /** Names of the tasks that failed. */
+    val failedTasks = CopyOnWriteArrayList<String>()
+    private val loop = NettyEventLoop { name, _ -> failedTasks += name }
     private val registry = SimpleMeterRegistry()
 
     /** Events that the gateway logs. */
     val events = LogCapture()
     private val state = GatewayState(entrySettings(), Random(1))
     private var starts = 0L
+    private var configuration = TestConfiguration(
+        1,
+        listOf(
+            route("/idempotent/", CallKind.IDEMPOTENT, targetMillis),
+            route("/once/", CallKind.AT_MOST_ONCE, targetMillis),
+            route("/open/", CallKind.AT_MOST_ONCE, targetMillis, isAnonymousAllowed = true),
+            route("/stream/", CallKind.STREAM, targetMillis, isResumable = true),
+            route("/engine/", CallKind.STREAM, targetMillis, isResumable = true, engineService)
+        ).map { it.copy(endpointsMax = endpointsMax) },
+        listOf(
+            TrafficService(service, "/health", 100, 0.0, null, emptyList(), null),
+            TrafficService(engineService, "/health", 100, 0.0, testEngine, emptyList(), null)
+        ),
+        CallerLimits(16_384, bodyMaxBytes, 3000, 15_000),
+        listOf(Organisation(OrganisationId("acme"), setOf("k"), null, emptySet()))
+    )
 
     /** Port for callers on the loopback address. */
     val port: Int
 
     init {
         onLoop {
-            state.configuration = configuration()
+            state.configuration = configuration.toTraffic()
             if (isListed) state.listedKinds += ObjectKind.entries
             if (isFresh) state.freshness.renew(systemClocks.now())
             endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
         }
         val metrics = GatewayMetrics(registry)
         val dispatcher =
-            CallDispatcher(loop, state, TestRequestCodec, events.log, metrics, queueMax)
+            CallDispatcher(loop, state, codec, events.log, metrics, queueMax)
         val server = GatewayServer(
             loop,
             state,
@@ -136,25 +179,16 @@
 
     private fun onLoop(action: () -> Unit) = loop.executor.submit(action).get()
 
-    private fun configuration(keys: Set<String> = setOf("k")) = TrafficConfiguration(
-        1,
-        listOf(
-            route("/idempotent/", CallKind.IDEMPOTENT, targetMillis),
-            route("/once/", CallKind.AT_MOST_ONCE, targetMillis),
-            route("/open/", CallKind.AT_MOST_ONCE, targetMillis, isAnonymousAllowed = true),
-            route("/stream/", CallKind.STREAM, targetMillis, isResumable = true),
-            route("/engine/", CallKind.STREAM, targetMillis, isResumable = true, engineService)
-        ),
-        listOf(
-            TrafficService(service, "/health", 100, 0.0, null, emptyList(), null),
-            TrafficService(engineService, "/health", 100, 0.0, testEngine, emptyList(), null)
-        ).associateBy { it.id },
-        CallerLimits(16_384, bodyMaxBytes, 3000, 15_000),
-        listOf(Organisation(OrganisationId("acme"), keys, null, emptySet()))
-    )
+    /** Applies the next version of the configuration, which is the current one after [change]. */
+    fun apply(change: (TestConfiguration) -> TestConfiguration) = onLoop {
+        configuration = change(configuration).copy(version = configuration.version + 1)
+        state.configuration = configuration.toTraffic()
+    }
 
     /** Applies a configuration in which the organisation has the API [keys]. */
-    fun setKeys(keys: Set<String>) = onLoop { state.configuration = configuration(keys) }
+    fun setKeys(keys: Set<String>) = apply { current ->
+        current.copy(organisations = current.organisations.map { it.copy(keys = keys) })
+    }
 
     private fun record(
         index: Int,
@@ -184,6 +218,9 @@
         state.fleet.find(id)?.onBackoffRequested(backoffMillis, monotonicMillis())
     }
 
+    /** Lists another endpoint, on [port]. */
+    fun add(port: Int) = onLoop { state.fleet.put(record(port, port), monotonicMillis()) }
+
     /** Lists an engine on [port] that has loaded [version]. */
     fun addEngine(port: Int, version: Long) = onLoop {
         val versions = mapOf(model to version)
@@ -214,11 +251,12 @@
         path: String,
         key: String? = "k",
         extraHeaders: String = "",
-        body: String = "hello"
+        body: String = "hello",
+        id: String = "r1"
     ): String = Socket("127.0.0.1", port).use { socket ->
         socket.soTimeout = CALL_SECONDS * 1000
         socket.send(
-            "POST $path HTTP/1.1\r\nHost: h\r\nId: r1\r\n" +
+            "POST $path HTTP/1.1\r\nHost: h\r\nId: $id\r\n" +
                 key?.let { "Key: $it\r\n" }.orEmpty() + extraHeaders +
                 "Connection: close\r\nContent-Length: ${body.length}\r\n\r\n$body"
         )
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestRequestCodec.kt
@@ -52,3 +52,6 @@
 
     override fun callerHeaders(id: RequestId) = listOf(HeaderLine("Id", id.value))
 }
+
+/** A [TestRequestCodec] of which single functions are replaced. */
+open class RequestCodecDelegate : RequestCodec by TestRequestCodec
