Let a silent endpoint end the response that it has begun

Seen by callers: a response that had begun was broken off, or replaced by 502 or 500, although its endpoint went on or ended it after a silence.

Cause: the attempt at a silent endpoint was dropped too early. (a) When its endpoint ended the response, even with the last chunk. (b) At the head of the other endpoint, which may still break off or fall silent itself. (c) Only CallDispatcher.fail restored it; a refusal because requests of this kind crash endpoints aborted the response. (d) A response that was still buffered was not kept at all. (e) A second attempt without a head was kept, and the body of its later refusal was relayed as part of the stream.

Change: the attempt is dropped when the other endpoint has sent an event or a whole response. An end of a known length that is not within an event completes the response; a close may be that of a crash, as before. Each refusal but that of the deadline restores the attempt, and a call that no other endpoint may get is not taken from its endpoint. Buffered responses are kept too, attempts without a head never.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -6,6 +6,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
 import java.io.ByteArrayOutputStream
 import org.toucanspur.core.gateway.AttemptOutcome
@@ -15,7 +16,6 @@
 import org.toucanspur.core.gateway.EndpointSignal
 import org.toucanspur.core.gateway.EndpointStatement
 import org.toucanspur.core.gateway.EventStreamSplitter
-import org.toucanspur.core.gateway.Fingerprint
 import org.toucanspur.core.gateway.FleetEndpoint
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.core.gateway.NamedLimit
@@ -24,8 +24,6 @@
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
-import org.toucanspur.core.gateway.partFingerprint
-import org.toucanspur.core.gateway.requestFingerprint
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.RequestId
@@ -113,21 +111,8 @@
     var endpoint: FleetEndpoint? = null
         private set
 
-    /** What the call has in common with others that may crash endpoints. */
-    val partFingerprints: List<Fingerprint> by lazy(LazyThreadSafetyMode.NONE) {
-        metadata.promptParts.map { partFingerprint(service.id, it) }
-    }
-
-    /** What identifies the call when a caller repeats it. */
-    val ownFingerprint: Fingerprint by lazy(LazyThreadSafetyMode.NONE) {
-        requestFingerprint(
-            service.id,
-            organisation?.id,
-            request.head.method().name(),
-            request.head.uri(),
-            request.body
-        )
-    }
+    /** What identifies the call when requests crash endpoints. */
+    val fingerprints = CallFingerprints(this)
 
     /** Time at which the current or last attempt began. */
     var sentMillis = 0L
@@ -214,28 +199,16 @@
         if (!connection.isWritable) newExchange.setReading(false)
     }
 
-    // The state of an attempt whose endpoint has gone silent within a stream.
-    private class SilentAttempt(
-        val endpoint: FleetEndpoint,
-        val run: EndpointRun?,
-        val exchange: EndpointExchange,
-        val sentMillis: Long,
-        val versionMin: Long,
-        val weightVersion: Long?,
-        val eventSplitter: EventStreamSplitter?,
-        val attemptEvents: Int
-    )
-
     /**
      * Leaves an endpoint that has gone silent, so that the call can be sent to another one. Within
-     * a stream, the attempt is kept: it is dropped when another endpoint responds, and continues if
-     * its endpoint goes on first or if no other one takes the call.
+     * a response, the attempt is kept: it is dropped when another endpoint has sent an event or a
+     * whole response, and continues if its endpoint goes on first or if no other one takes the
+     * call. The attempt that has come furthest is kept, which is the first one.
      */
     fun leaveSilentEndpoint() {
         val current = exchange ?: return
         val target = endpoint ?: return
-        dropSilentAttempt()
-        if (!isCommitted) {
+        if (isAwaitingResponse || silentAttempt != null) {
             cancelAttempt()
             return
         }
@@ -247,7 +220,10 @@
             versionMin,
             weightVersion,
             eventSplitter,
-            attemptEvents
+            attemptEvents,
+            responseHead,
+            bufferedBody,
+            isSealed
         )
         recordAttempt(AttemptOutcome.MAY_HAVE_RUN)
         exchange = null
@@ -259,9 +235,16 @@
         silentAttempt = null
         kept.exchange.cancel()
         kept.endpoint.onEnd()
+        reportBuffered()
         delegate.onCapacityFreed(this)
     }
 
+    // Reports the memory of the current and the silent attempt.
+    private fun reportBuffered() {
+        val current = if (isSent) eventSplitter?.capacityBytes ?: bufferedBody.size() else 0
+        delegate.onBuffered(this, current + (silentAttempt?.bufferedBytes ?: 0))
+    }
+
     /** Makes the silent attempt the current one again; returns false if there is none. */
     fun restoreSilentAttempt(): Boolean {
         val kept = silentAttempt ?: return false
@@ -275,6 +258,10 @@
         weightVersion = kept.weightVersion
         eventSplitter = kept.eventSplitter
         attemptEvents = kept.attemptEvents
+        responseHead = kept.responseHead
+        bufferedBody = kept.bufferedBody
+        isSealed = kept.isSealed
+        reportBuffered()
         lastProgressMillis = monotonicMillis()
         return true
     }
@@ -309,7 +296,7 @@
 
     private fun releaseEndpoint() {
         exchange = null
-        delegate.onBuffered(this, 0)
+        reportBuffered()
         endpoint?.let {
             it.onEnd()
             delegate.onCapacityFreed(this)
@@ -319,6 +306,10 @@
 
     /** Gives up the buffered part of the response, because memory is short. */
     fun releaseBuffer() {
+        if (silentAttempt != null) {
+            dropSilentAttempt()
+            return
+        }
         if (eventSplitter == null && isSealed) {
             relayBuffer()
         } else {
@@ -366,23 +357,15 @@
                 }
             status in SUCCESS && !delegate.codec.isSealed(lookup) ->
                 onBrokenResponse("answer without a seal")
-            isCommitted && !continuesStream(response) ->
+            isCommitted && !response.isStreamOf(committedMediaType) ->
                 onBrokenResponse("status $status instead of the rest of the stream")
-            status >= FIRST_SERVER_ERROR && route.isRepeatable && delegate.mayRetry(this) ->
-                onServerError(status)
+            status >= FIRST_SERVER_ERROR &&
+                route.isRepeatable &&
+                (silentAttempt != null || delegate.mayRetry(this)) -> onServerError(status)
             else -> acceptResponse(response, status)
         }
     }
 
-    private fun continuesStream(response: HttpResponse): Boolean =
-        response.status().code() == OK && mediaType(response) == committedMediaType
-
-    private fun mediaType(response: HttpResponse): String =
-        response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
-            .substringBefore(';')
-            .trim()
-            .lowercase()
-
     private fun applyStatement(status: Int, lookup: (String) -> String?, isIdentified: Boolean) {
         val statement = delegate.codec.statementOf(status, lookup)
         // A response lifts the limit only if it certainly comes from the endpoint.
@@ -394,7 +377,6 @@
     }
 
     private fun acceptResponse(response: HttpResponse, status: Int) {
-        dropSilentAttempt()
         endpoint?.let { delegate.onResponseBegun(this, it) }
         val observation =
             if (status >= FIRST_SERVER_ERROR) {
@@ -455,8 +437,7 @@
         lastProgressMillis = monotonicMillis()
         val events = eventSplitter
         if (events == null) bufferOrRelay(bytes) else relayEvents(events, bytes)
-        if (exchange !== this.exchange) return
-        delegate.onBuffered(this, events?.capacityBytes ?: bufferedBody.size())
+        if (exchange === this.exchange) reportBuffered()
     }
 
     private fun relayEvents(events: EventStreamSplitter, bytes: ByteArray) {
@@ -466,6 +447,7 @@
             return
         }
         if (batch == null) return
+        dropSilentAttempt()
         commit()
         attemptEvents++
         if (attemptEvents == PROGRESS_EVENTS) delegate.crashes.onProgress(this)
@@ -488,10 +470,11 @@
     }
 
     private fun relayBuffer() {
+        dropSilentAttempt()
         commit()
         connection.writeChunk(bufferedBody.toByteArray())
         bufferedBody = ByteArrayOutputStream(0)
-        delegate.onBuffered(this, 0)
+        reportBuffered()
     }
 
     private fun commit() {
@@ -499,13 +482,14 @@
         isCommitted = true
         firstByteMillis = monotonicMillis()
         val response = checkNotNull(responseHead)
-        committedMediaType = mediaType(response)
+        committedMediaType = response.mediaType()
         connection.writeResponseHead(response.status().code(), relayedHeaders(response))
     }
 
     override fun onEnd(exchange: EndpointExchange) {
-        // An endpoint that ends a stream after a silence may have crashed.
-        if (exchange === silentAttempt?.exchange) dropSilentAttempt()
+        val silent = silentAttempt?.takeIf { it.exchange === exchange }
+        if (silent?.isComplete == false) dropSilentAttempt()
+        if (silent?.isComplete == true) isCurrent(exchange)
         if (exchange !== this.exchange) return
         val events = eventSplitter
         if (events != null && events.isInsideEvent) {
@@ -522,6 +506,7 @@
     }
 
     private fun complete(response: HttpResponse?, status: Int) {
+        dropSilentAttempt()
         if (isCommitted) {
             connection.writeLastChunk()
         } else {
@@ -571,3 +556,12 @@
         const val BUFFERED_MAX_BYTES = 128 * 1024
     }
 }
+
+private fun HttpResponse.mediaType(): String = headers().get(HttpHeaderNames.CONTENT_TYPE)
+    .orEmpty()
+    .substringBefore(';')
+    .trim()
+    .lowercase()
+
+private fun HttpResponse.isStreamOf(mediaType: String): Boolean =
+    status().code() == HttpResponseStatus.OK.code() && mediaType() == mediaType
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -234,9 +234,14 @@
         refuse(call, Refusal(UNAVAILABLE, reason, placements.retryAfterMillis(call, placement)))
     }
 
+    // A call whose response has begun at a silent endpoint is not ended for want of another one.
+    private fun refuse(call: Call, refusal: Refusal) {
+        if (!call.restoreSilentAttempt()) end(call, refusal)
+    }
+
     // Status 503 guarantees that the request was not executed, so it is used only if no endpoint
     // may have executed the request.
-    private fun refuse(call: Call, refusal: Refusal) {
+    private fun end(call: Call, refusal: Refusal) {
         if (call.isFinished) return
         val event = if (call.isCommitted) {
             EventCode.RESPONSE_ABORTED
@@ -315,7 +320,6 @@
     }
 
     private fun fail(call: Call, reason: String) {
-        if (call.restoreSilentAttempt()) return
         val refusal = if (call.mayHaveExecuted) {
             Refusal(BAD_GATEWAY, reason)
         } else {
@@ -398,7 +402,7 @@
         } else {
             Refusal(UNAVAILABLE, "time is over while waiting", SHORT_RETRY_MILLIS)
         }
-        refuse(call, refusal)
+        end(call, refusal)
     }
 
     private fun tick() {
@@ -441,13 +445,16 @@
 
     // Load pattern: connections of a failed or unreachable endpoint stay open but carry no data. A
     // repeatable call is sent to another endpoint, but only to one with free capacity. A sound
-    // endpoint may be silent for a second, so it keeps a stream until the other one responds.
+    // endpoint may be silent for a second, so it keeps a response that it has begun until the other
+    // one responds.
     private fun checkStall(call: Call, nowMillis: Long) {
         if (call.isCommitted && !call.isResumable) return
         // Nothing is read from the endpoint while the caller does not read.
         if (!call.connection.isWritable) return
         if (nowMillis - call.lastProgressMillis < stallMillis(call.route, call.isCommitted)) return
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return
+        // A call that no other endpoint may get stays where it is.
+        if (crashes.isRefused(call, nowMillis)) return
         val placement = placements.place(call, nowMillis)
         val endpoint = call.endpoint
         if (placement !is Placement.Send || placement.endpoint === endpoint) return
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CrashObserver.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CrashObserver.kt
@@ -6,7 +6,6 @@
 
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
-import org.toucanspur.core.gateway.Fingerprint
 import org.toucanspur.core.gateway.LostAttempt
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
@@ -27,7 +26,7 @@
     fun onLost(call: Call) {
         val run = call.endpointRun ?: return
         val fingerprints =
-            if (call.hasProgressed) listOf(call.ownFingerprint) else fingerprints(call)
+            if (call.hasProgressed) listOf(call.fingerprints.own) else call.fingerprints.all
         suspects.onLost(LostAttempt(run, fingerprints, call.sentMillis, monotonicMillis()))
     }
 
@@ -35,22 +34,19 @@
     fun onProgress(call: Call) {
         val now = monotonicMillis()
         suspects.onResponse(call.service.id, now)
-        suspects.clear(call.partFingerprints, now)
+        suspects.clear(call.fingerprints.parts, now)
     }
 
     /** Records that the response to [call] is a complete success. */
     fun onComplete(call: Call) {
         val now = monotonicMillis()
         if (!call.hasProgressed) suspects.onResponse(call.service.id, now)
-        suspects.clear(fingerprints(call), now)
+        suspects.clear(call.fingerprints.all, now)
     }
 
-    private fun fingerprints(call: Call): List<Fingerprint> =
-        call.partFingerprints + call.ownFingerprint
-
     /** Records that [call] is sent to an endpoint. */
     fun onSend(call: Call, nowMillis: Long) {
-        if (suspects.size > 0) suspects.onSend(call.ownFingerprint, nowMillis)
+        if (suspects.size > 0) suspects.onSend(call.fingerprints.own, nowMillis)
     }
 
     /** Counts the lost attempts whose endpoints have been found to be down. */
@@ -73,10 +69,7 @@
 
     /** The response to [call] if requests like it crash endpoints, or null. */
     fun refusal(call: Call, nowMillis: Long): Refusal? {
-        if (suspects.size == 0) return null
-        val isRefused = suspects.isRefused(call.service.id, fingerprints(call), nowMillis) ||
-            suspects.isHeldBack(call.ownFingerprint, nowMillis)
-        if (!isRefused) return null
+        if (!isRefused(call, nowMillis)) return null
         metrics.crashSuspects.increment()
         return if (call.mayHaveExecuted) {
             Refusal(BAD_GATEWAY, REASON)
@@ -85,6 +78,13 @@
         }
     }
 
+    /** Whether requests like [call] crash endpoints. */
+    fun isRefused(call: Call, nowMillis: Long): Boolean = suspects.size > 0 &&
+        (
+            suspects.isRefused(call.service.id, call.fingerprints.all, nowMillis) ||
+                suspects.isHeldBack(call.fingerprints.own, nowMillis)
+            )
+
     private companion object {
         const val BAD_GATEWAY = 502
         const val UNAVAILABLE = 503
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
@@ -64,11 +64,14 @@
     private val request: EndpointRequest,
     private val listener: ExchangeListener
 ) {
+    /** Whether the end of the response is known without the close of the connection. */
+    var hasLength = false
+        private set
+
     private var channel: Channel? = null
     private var wasSent = false
     private var isRefused = false
     private var isDone = false
-    private var hasLength = false
     private var resetReason: String? = null
 
     /** Connects to the endpoint and sends the request. */
