Read what has arrived before judging silence or the deadline

Seen by callers: after a large configuration or a pause, requests ran twice, and responses that had arrived within the deadline were replaced by 504.

Timers that became due while the event loop was held up run before the reads of the bytes that arrived meanwhile. The entry took its own delay for silence of the endpoint, or for a response that did not come in time.

Change: silence up to a tick, and withdrawal for a due version, are judged by a timer that is set in the tick and so runs after the next reads. The deadline works in the same way.

Evidence: both cases of HeldUpEventLoopTest failed before (the request reached two endpoints; 504) and pass. A codec that is busy holds up the event loop while the endpoint responds, whatever the speed of the machine.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -106,13 +106,6 @@
         return call
     }
 
-    private fun scheduleDeadline(call: Call) {
-        call.deadlineTimer?.cancel(false)
-        call.deadlineTimer = loop.schedule("deadline", call.deadlineMillis - monotonicMillis()) {
-            onDeadline(call)
-        }
-    }
-
     /**
      * Ends all requests within [period]. Those that arrive from now on and cannot be served in that
      * time are refused.
@@ -393,6 +386,14 @@
         activeCalls -= call
     }
 
+    private fun scheduleDeadline(call: Call) {
+        call.deadlineTimer?.cancel(false)
+        call.deadlineTimer = loop.schedule("deadline", call.deadlineMillis - monotonicMillis()) {
+            // What arrived before the deadline is read before the timers run again.
+            call.deadlineTimer = loop.schedule("deadline", 0) { onDeadline(call) }
+        }
+    }
+
     private fun onDeadline(call: Call) {
         if (call.isFinished) return
         queue.remove(call)
@@ -410,13 +411,22 @@
         crashes.confirm(now)
         drainQueue()
         queue.removeExpired(now).forEach { onWaitExpired(it, now) }
-        activeCalls.filter { it.isAwaitingResponse }.forEach { versions.withdrawIfDue(it, now) }
-        activeCalls.filter { it.isSent && it.route.isRepeatable }.forEach { checkStall(it, now) }
+        // The event loop may have been held up: what has arrived until now is read before the
+        // timers run again.
+        loop.schedule("silence", 0) { judgeSilence(now) }
         state.fleet.expire(now).forEach {
             log.event(EventCode.ENDPOINT_REMOVED) { put("endpoint", it.value) }
         }
     }
 
+    // Endpoints from which everything that arrived by [untilMillis] has been read.
+    private fun judgeSilence(untilMillis: Long) {
+        activeCalls.filter { it.isAwaitingResponse }
+            .forEach { versions.withdrawIfDue(it, untilMillis) }
+        activeCalls.filter { it.isSent && it.route.isRepeatable }
+            .forEach { checkStall(it, untilMillis) }
+    }
+
     private fun onWaitExpired(call: Call, nowMillis: Long) {
         // As a last resort, accepts an endpoint that may load weights before the response ends.
         val finalPlacement = placements.place(call, nowMillis, isFinalAttempt = true)
@@ -447,12 +457,14 @@
     // repeatable call is sent to another endpoint, but only to one with free capacity. A sound
     // endpoint may be silent for a second, so it keeps a response that it has begun until the other
     // one responds.
-    private fun checkStall(call: Call, nowMillis: Long) {
+    private fun checkStall(call: Call, untilMillis: Long) {
         if (call.isCommitted && !call.isResumable) return
         // Nothing is read from the endpoint while the caller does not read.
         if (!call.connection.isWritable) return
-        if (nowMillis - call.lastProgressMillis < stallMillis(call.route, call.isCommitted)) return
+        val silentMillis = untilMillis - call.lastProgressMillis
+        if (silentMillis < stallMillis(call.route, call.isCommitted)) return
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return
+        val nowMillis = monotonicMillis()
         // A call that no other endpoint may get stays where it is.
         if (crashes.isRefused(call, nowMillis)) return
         val placement = placements.place(call, nowMillis)
@@ -465,7 +477,7 @@
             put("request", call.id.value)
             put("endpoint", endpoint?.record?.id?.value ?: "")
             put("reason", "silent")
-            put("silentMillis", nowMillis - call.lastProgressMillis)
+            put("silentMillis", silentMillis)
         }
         crashes.onLost(call)
         call.leaveSilentEndpoint()
