--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -42,6 +42,7 @@
     private val versions = CallVersions(state, log, metrics)
     private val placements = CallPlacement(state, versions)
     private val statements = EndpointStatements(log)
+    private val callLog = CallLog(log, state)
     override val crashes = CrashObserver(state, log, metrics)
     private val queue = CallQueue<Call>(queueMax)
     private val responseMemory = ResponseMemory<Call>(responseMemoryBytes)
@@ -191,21 +192,8 @@
         )
         val isRetry = call.executedAttempts + call.unexecutedAttempts > 0
         if (isRetry) metrics.retried.increment()
-        log.event(
-            if (isResumed) EventCode.REQUEST_RESUMED else EventCode.REQUEST_DISPATCHED,
-            isEssential = isRetry
-        ) {
-            put("request", call.id.value)
-            put("endpoint", endpoint.record.id.value)
-            put("waitedMillis", now - call.request.receivedMillis)
-            put("predictedMillis", placement.firstByteMillis.toLong())
-            put("isOnTime", call.isOnTime)
-            put("occupancy", endpoint.occupancy(now, state.entryCount(now)))
-            put("reportAgeMillis", endpoint.reportAgeMillis(now))
-            endpoint.nextLoadMillis(now)?.let { put("nextLoadMillis", it) }
+        callLog.onSend(call, placement, isResumed) {
             versions.describe(this, call, endpoint, versionMin)
-            put("configuration", state.configuration?.version ?: 0)
-            if (isRetry) put("send", call.executedAttempts + call.unexecutedAttempts + 1)
         }
         call.predictedMillis = placement.firstByteMillis
         val exchange = EndpointExchange(loop, request, call)
@@ -236,23 +224,7 @@
     // may have executed the request.
     private fun end(call: Call, refusal: Refusal) {
         if (call.isFinished) return
-        val event = if (call.isCommitted) {
-            EventCode.RESPONSE_ABORTED
-        } else {
-            EventCode.REQUEST_REFUSED
-        }
-        log.event(event) {
-            put("request", call.id.value)
-            put("route", call.route.name)
-            put("status", refusal.status)
-            put("reason", refusal.reason)
-            put("sends", call.executedAttempts)
-            put("missed", call.unexecutedAttempts)
-            put("waitedMillis", monotonicMillis() - call.request.receivedMillis)
-            put("isOnTime", call.isOnTime)
-            put("waiting", queue.size)
-            refusal.retryAfterMillis?.let { put("retryAfterMillis", it) }
-        }
+        callLog.onRefused(call, refusal, queue.size)
         metrics.onRefused(refusal.status)
         call.refuse(refusal.status, refusal.headers(codec, call.id), refusal.body())
         activeCalls -= call
@@ -264,13 +236,7 @@
         refusal: Refusal
     ) {
         val id = metadata.requestId ?: RequestId("")
-        log.event(EventCode.REQUEST_REFUSED) {
-            put("request", id.value)
-            put("status", refusal.status)
-            put("reason", refusal.reason)
-            put("configuration", state.configuration?.version ?: 0)
-            put("proofAgeMillis", state.freshness.ageMillis(systemClocks.now()) ?: -1)
-        }
+        callLog.onUnadmitted(id, refusal)
         metrics.onRefused(refusal.status)
         connection.writeResponse(
             refusal.status,
@@ -287,15 +253,7 @@
 
     override fun onAttemptFailed(call: Call, outcome: AttemptOutcome, reason: String) {
         if (call.isFinished) return
-        log.event(EventCode.REQUEST_FAILED) {
-            put("request", call.id.value)
-            put("endpoint", call.tried.lastOrNull()?.value ?: "")
-            put("reason", reason)
-            put("outcome", outcome.name)
-            put("sends", call.executedAttempts)
-            put("events", call.attemptEvents)
-            put("parts", call.metadata.promptParts.joinToString(","))
-        }
+        callLog.onAttemptFailed(call, outcome, reason)
         val history =
             AttemptHistory(
                 call.executedAttempts,
@@ -332,15 +290,7 @@
         val total = monotonicMillis() - call.request.receivedMillis
         val firstByte = call.firstByteMillis - call.request.receivedMillis
         metrics.onResponseComplete(firstByte, total, call.predictedMillis)
-        log.event(EventCode.REQUEST_ANSWERED, isEssential = false) {
-            put("request", call.id.value)
-            put("route", call.route.name)
-            put("status", status)
-            put("firstByteMillis", firstByte)
-            put("totalMillis", total)
-            put("sends", call.executedAttempts)
-            call.weightVersion?.let { put("weights", it) }
-        }
+        callLog.onComplete(call, status, firstByte, total)
     }
 
     override fun onEndpointObservation(
@@ -375,11 +325,7 @@
     fun onDisconnect(call: Call) {
         if (call.isFinished) return
         queue.remove(call)
-        log.event(EventCode.REQUEST_ABANDONED, isEssential = false) {
-            put("request", call.id.value)
-            put("afterMillis", monotonicMillis() - call.request.receivedMillis)
-            put("wasSent", call.isSent)
-        }
+        callLog.onAbandoned(call)
         metrics.abandoned.increment()
         versions.onAbandoned(call)
         call.cancel()
@@ -473,12 +419,7 @@
         if (!takeRetryPermit(call, nowMillis)) return
         endpoint?.onSignal(EndpointSignal.TRANSPORT_FAILURE, nowMillis)
         endpoint?.onSlowPath(nowMillis)
-        log.event(EventCode.REQUEST_FAILED) {
-            put("request", call.id.value)
-            put("endpoint", endpoint?.record?.id?.value ?: "")
-            put("reason", "silent")
-            put("silentMillis", silentMillis)
-        }
+        callLog.onSilent(call, silentMillis)
         crashes.onLost(call)
         call.leaveSilentEndpoint()
         call.mayHaveExecuted = true
