Answer a request whose handling fails

Seen by callers: an internal error in the handling of a request closed the connection without a response. One in the head of an endpoint's response gave the caller an empty 200 without a seal. One in a request that waited kept all requests behind it from free endpoints until their deadlines.

Cause: exceptions reached the pipeline of the caller or of the endpoint, or ended the whole tick.

Change: an error ends the one call that it belongs to. The steps of the tick are guarded one by one. A response that ends without a head is a broken one.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -491,6 +491,10 @@
         if (silent?.isComplete == false) dropSilentAttempt()
         if (silent?.isComplete == true) isCurrent(exchange)
         if (exchange !== this.exchange) return
+        if (responseHead == null && !isCommitted) {
+            onBrokenResponse("response without a head")
+            return
+        }
         val events = eventSplitter
         if (events != null && events.isInsideEvent) {
             onBrokenResponse("stream ended within an event")
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -61,7 +61,18 @@
     }
 
     /** Handles a completely received request. Returns its call, or null if it was not admitted. */
-    fun onRequest(connection: CallerConnection, request: BufferedRequest): Call? {
+    fun onRequest(connection: CallerConnection, request: BufferedRequest): Call? =
+        runCatching { admit(connection, request) }.getOrElse { cause ->
+            loop.onTaskFailed("admission", cause)
+            // Nothing has been sent yet. An idle connection has its response already.
+            if (!connection.isIdle) {
+                val refusal = Refusal(UNAVAILABLE, INTERNAL_ERROR, SHORT_RETRY_MILLIS)
+                connection.writeResponse(refusal.status, emptyList(), refusal.body())
+            }
+            null
+        }
+
+    private fun admit(connection: CallerConnection, request: BufferedRequest): Call? {
         val metadata = codec.decode { request.head.headers().get(it) }
         return when (val admitted = admission.admit(request, metadata)) {
             is Admission.Refused -> {
@@ -103,7 +114,7 @@
         state.retryAllowance(call.service.id).onRequest(monotonicMillis())
         grace?.let { call.limitDeadline(it.endMillis) }
         scheduleDeadline(call)
-        sendOrQueue(call)
+        guarded(call) { sendOrQueue(call) }
         return call
     }
 
@@ -196,7 +207,8 @@
             versions.describe(this, call, endpoint, versionMin)
         }
         call.predictedMillis = placement.firstByteMillis
-        val exchange = EndpointExchange(loop, request, call)
+        val listener = GuardedExchangeListener(call) { onInternalError(call, it) }
+        val exchange = EndpointExchange(loop, request, listener)
         call.send(endpoint, exchange, CONNECT_TIMEOUT_MILLIS, versionMin)
     }
 
@@ -336,7 +348,7 @@
         call.deadlineTimer?.cancel(false)
         call.deadlineTimer = loop.schedule("deadline", call.deadlineMillis - monotonicMillis()) {
             // What arrived before the deadline is read before the timers run again.
-            call.deadlineTimer = loop.schedule("deadline", 0) { onDeadline(call) }
+            call.deadlineTimer = loop.schedule("deadline", 0) { guarded(call) { onDeadline(call) } }
         }
     }
 
@@ -352,25 +364,51 @@
         end(call, refusal)
     }
 
+    private fun onInternalError(call: Call, cause: Throwable) {
+        loop.onTaskFailed("request ${call.id.value}", cause)
+        queue.remove(call)
+        activeCalls -= call
+        if (call.isFinished) return
+        val mayHaveRun = call.isSent || call.executedAttempts > 0 || call.mayHaveExecuted
+        val refusal = if (mayHaveRun) {
+            Refusal(BAD_GATEWAY, INTERNAL_ERROR)
+        } else {
+            Refusal(UNAVAILABLE, INTERNAL_ERROR, SHORT_RETRY_MILLIS)
+        }
+        val headers = runCatching { refusal.headers(codec, call.id) }.getOrDefault(emptyList())
+        call.refuse(refusal.status, headers, refusal.body())
+    }
+
+    // An error in the handling of one call ends that call and no other one.
+    private inline fun guarded(call: Call, action: () -> Unit) {
+        runCatching(action).onFailure { onInternalError(call, it) }
+    }
+
     private fun tick() {
         val now = monotonicMillis()
-        crashes.confirm(now)
+        step("crashed endpoints") { crashes.confirm(now) }
         drainQueue()
-        queue.removeExpired(now).forEach { onWaitExpired(it, now) }
+        queue.removeExpired(now).forEach { guarded(it) { onWaitExpired(it, now) } }
         // The event loop may have been held up: what has arrived until now is read before the
         // timers run again.
         loop.schedule("silence", 0) { judgeSilence(now) }
-        state.fleet.expire(now).forEach {
-            log.event(EventCode.ENDPOINT_REMOVED) { put("endpoint", it.value) }
+        step("expired endpoints") {
+            state.fleet.expire(now).forEach {
+                log.event(EventCode.ENDPOINT_REMOVED) { put("endpoint", it.value) }
+            }
         }
     }
 
+    private fun step(name: String, action: () -> Unit) {
+        runCatching(action).onFailure { loop.onTaskFailed(name, it) }
+    }
+
     // Endpoints from which everything that arrived by [untilMillis] has been read.
     private fun judgeSilence(untilMillis: Long) {
         activeCalls.filter { it.isAwaitingResponse }
-            .forEach { versions.withdrawIfDue(it, untilMillis) }
+            .forEach { guarded(it) { versions.withdrawIfDue(it, untilMillis) } }
         activeCalls.filter { it.isSent && it.route.isRepeatable }
-            .forEach { checkStall(it, untilMillis) }
+            .forEach { guarded(it) { checkStall(it, untilMillis) } }
     }
 
     private fun onWaitExpired(call: Call, nowMillis: Long) {
@@ -389,13 +427,13 @@
     private fun drainQueue() {
         val now = monotonicMillis()
         queue.drain { call ->
-            val placement = placements.place(call, now)
-            if (placement is Placement.Send) {
-                send(call, placement)
-                true
-            } else {
-                false
+            var isPlaced = false
+            guarded(call) {
+                val placement = placements.place(call, now)
+                isPlaced = placement is Placement.Send
+                if (placement is Placement.Send) send(call, placement)
             }
+            isPlaced
         }
     }
 
@@ -445,6 +483,7 @@
         const val CONNECT_TIMEOUT_MILLIS = 300
 
         const val SHORT_RETRY_MILLIS = 200L
+        const val INTERNAL_ERROR = "internal error"
 
         // Callers close a stream after two seconds without an event.
         const val RESUME_WAIT_MILLIS = 1500L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
@@ -43,6 +43,27 @@
     fun onFailure(exchange: EndpointExchange, stage: FailureStage, reason: String)
 }
 
+/** Passes the calls to [listener] on, and those that fail to [onError]. */
+class GuardedExchangeListener(
+    private val listener: ExchangeListener,
+    private val onError: (Throwable) -> Unit
+) : ExchangeListener {
+    override fun onHead(exchange: EndpointExchange, response: HttpResponse) =
+        guarded { listener.onHead(exchange, response) }
+
+    override fun onBody(exchange: EndpointExchange, bytes: ByteArray) =
+        guarded { listener.onBody(exchange, bytes) }
+
+    override fun onEnd(exchange: EndpointExchange) = guarded { listener.onEnd(exchange) }
+
+    override fun onFailure(exchange: EndpointExchange, stage: FailureStage, reason: String) =
+        guarded { listener.onFailure(exchange, stage, reason) }
+
+    private inline fun guarded(action: () -> Unit) {
+        runCatching(action).onFailure(onError)
+    }
+}
+
 /** How far an exchange came before it failed. */
 enum class FailureStage {
     /** Nothing listens at the address. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyEventLoop.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyEventLoop.kt
@@ -65,6 +65,9 @@
     /** Scope whose coroutines run on the event loop. */
     val scope = CoroutineScope(SupervisorJob() + executor.asCoroutineDispatcher())
 
+    /** Reports that a part of the task [name] has failed, which does not end the task. */
+    fun onTaskFailed(name: String, cause: Throwable) = onFailure(name, cause)
+
     /** Runs [action], the task [name], on the event loop. */
     fun execute(name: String, action: () -> Unit) =
         executor.execute { runCatching(action).onFailure { onFailure(name, it) } }
