--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -42,6 +42,7 @@
     private val versions = CallVersions(state, log, metrics)
     private val placements = CallPlacement(state, versions)
     private val statements = EndpointStatements(log)
+    private val callLog = CallLog(log, state)
     override val crashes = CrashObserver(state, log, metrics)
     private val queue = CallQueue<Call>(queueMax)
     private val responseMemory = ResponseMemory<Call>(responseMemoryBytes)
@@ -60,7 +61,18 @@
     }
 
     /** Handles a completely received request. Returns its call, or null if it was not admitted. */
-    fun onRequest(connection: CallerConnection, request: BufferedRequest): Call? {
+    fun onRequest(connection: CallerConnection, request: BufferedRequest): Call? =
+        runCatching { admit(connection, request) }.getOrElse { cause ->
+            loop.onTaskFailed("admission", cause)
+            // Nothing has been sent yet. An idle connection has its response already.
+            if (!connection.isIdle) {
+                val refusal = Refusal(UNAVAILABLE, INTERNAL_ERROR, SHORT_RETRY_MILLIS)
+                connection.writeResponse(refusal.status, emptyList(), refusal.body())
+            }
+            null
+        }
+
+    private fun admit(connection: CallerConnection, request: BufferedRequest): Call? {
         val metadata = codec.decode { request.head.headers().get(it) }
         return when (val admitted = admission.admit(request, metadata)) {
             is Admission.Refused -> {
@@ -102,17 +114,10 @@
         state.retryAllowance(call.service.id).onRequest(monotonicMillis())
         grace?.let { call.limitDeadline(it.endMillis) }
         scheduleDeadline(call)
-        sendOrQueue(call)
+        guarded(call) { sendOrQueue(call) }
         return call
     }
 
-    private fun scheduleDeadline(call: Call) {
-        call.deadlineTimer?.cancel(false)
-        call.deadlineTimer = loop.schedule("deadline", call.deadlineMillis - monotonicMillis()) {
-            onDeadline(call)
-        }
-    }
-
     /**
      * Ends all requests within [period]. Those that arrive from now on and cannot be served in that
      * time are refused.
@@ -198,24 +203,12 @@
         )
         val isRetry = call.executedAttempts + call.unexecutedAttempts > 0
         if (isRetry) metrics.retried.increment()
-        log.event(
-            if (isResumed) EventCode.REQUEST_RESUMED else EventCode.REQUEST_DISPATCHED,
-            isEssential = isRetry
-        ) {
-            put("request", call.id.value)
-            put("endpoint", endpoint.record.id.value)
-            put("waitedMillis", now - call.request.receivedMillis)
-            put("predictedMillis", placement.firstByteMillis.toLong())
-            put("isOnTime", call.isOnTime)
-            put("occupancy", endpoint.occupancy(now, state.entryCount(now)))
-            put("reportAgeMillis", endpoint.reportAgeMillis(now))
-            endpoint.nextLoadMillis(now)?.let { put("nextLoadMillis", it) }
+        callLog.onSend(call, placement, isResumed) {
             versions.describe(this, call, endpoint, versionMin)
-            put("configuration", state.configuration?.version ?: 0)
-            if (isRetry) put("send", call.executedAttempts + call.unexecutedAttempts + 1)
         }
         call.predictedMillis = placement.firstByteMillis
-        val exchange = EndpointExchange(loop, request, call)
+        val listener = GuardedExchangeListener(call) { onInternalError(call, it) }
+        val exchange = EndpointExchange(loop, request, listener)
         call.send(endpoint, exchange, CONNECT_TIMEOUT_MILLIS, versionMin)
     }
 
@@ -234,27 +227,16 @@
         refuse(call, Refusal(UNAVAILABLE, reason, placements.retryAfterMillis(call, placement)))
     }
 
+    // A call whose response has begun at a silent endpoint is not ended for want of another one.
+    private fun refuse(call: Call, refusal: Refusal) {
+        if (!call.restoreSilentAttempt()) end(call, refusal)
+    }
+
     // Status 503 guarantees that the request was not executed, so it is used only if no endpoint
     // may have executed the request.
-    private fun refuse(call: Call, refusal: Refusal) {
+    private fun end(call: Call, refusal: Refusal) {
         if (call.isFinished) return
-        val event = if (call.isCommitted) {
-            EventCode.RESPONSE_ABORTED
-        } else {
-            EventCode.REQUEST_REFUSED
-        }
-        log.event(event) {
-            put("request", call.id.value)
-            put("route", call.route.name)
-            put("status", refusal.status)
-            put("reason", refusal.reason)
-            put("sends", call.executedAttempts)
-            put("missed", call.unexecutedAttempts)
-            put("waitedMillis", monotonicMillis() - call.request.receivedMillis)
-            put("isOnTime", call.isOnTime)
-            put("waiting", queue.size)
-            refusal.retryAfterMillis?.let { put("retryAfterMillis", it) }
-        }
+        callLog.onRefused(call, refusal, queue.size)
         metrics.onRefused(refusal.status)
         call.refuse(refusal.status, refusal.headers(codec, call.id), refusal.body())
         activeCalls -= call
@@ -266,13 +248,7 @@
         refusal: Refusal
     ) {
         val id = metadata.requestId ?: RequestId("")
-        log.event(EventCode.REQUEST_REFUSED) {
-            put("request", id.value)
-            put("status", refusal.status)
-            put("reason", refusal.reason)
-            put("configuration", state.configuration?.version ?: 0)
-            put("proofAgeMillis", state.freshness.ageMillis(systemClocks.now()) ?: -1)
-        }
+        callLog.onUnadmitted(id, refusal)
         metrics.onRefused(refusal.status)
         connection.writeResponse(
             refusal.status,
@@ -289,15 +265,7 @@
 
     override fun onAttemptFailed(call: Call, outcome: AttemptOutcome, reason: String) {
         if (call.isFinished) return
-        log.event(EventCode.REQUEST_FAILED) {
-            put("request", call.id.value)
-            put("endpoint", call.tried.lastOrNull()?.value ?: "")
-            put("reason", reason)
-            put("outcome", outcome.name)
-            put("sends", call.executedAttempts)
-            put("events", call.attemptEvents)
-            put("parts", call.metadata.promptParts.joinToString(","))
-        }
+        callLog.onAttemptFailed(call, outcome, reason)
         val history =
             AttemptHistory(
                 call.executedAttempts,
@@ -315,7 +283,6 @@
     }
 
     private fun fail(call: Call, reason: String) {
-        if (call.restoreSilentAttempt()) return
         val refusal = if (call.mayHaveExecuted) {
             Refusal(BAD_GATEWAY, reason)
         } else {
@@ -335,15 +302,7 @@
         val total = monotonicMillis() - call.request.receivedMillis
         val firstByte = call.firstByteMillis - call.request.receivedMillis
         metrics.onResponseComplete(firstByte, total, call.predictedMillis)
-        log.event(EventCode.REQUEST_ANSWERED, isEssential = false) {
-            put("request", call.id.value)
-            put("route", call.route.name)
-            put("status", status)
-            put("firstByteMillis", firstByte)
-            put("totalMillis", total)
-            put("sends", call.executedAttempts)
-            call.weightVersion?.let { put("weights", it) }
-        }
+        callLog.onComplete(call, status, firstByte, total)
     }
 
     override fun onEndpointObservation(
@@ -378,17 +337,21 @@
     fun onDisconnect(call: Call) {
         if (call.isFinished) return
         queue.remove(call)
-        log.event(EventCode.REQUEST_ABANDONED, isEssential = false) {
-            put("request", call.id.value)
-            put("afterMillis", monotonicMillis() - call.request.receivedMillis)
-            put("wasSent", call.isSent)
-        }
+        callLog.onAbandoned(call)
         metrics.abandoned.increment()
         versions.onAbandoned(call)
         call.cancel()
         activeCalls -= call
     }
 
+    private fun scheduleDeadline(call: Call) {
+        call.deadlineTimer?.cancel(false)
+        call.deadlineTimer = loop.schedule("deadline", call.deadlineMillis - monotonicMillis()) {
+            // What arrived before the deadline is read before the timers run again.
+            call.deadlineTimer = loop.schedule("deadline", 0) { guarded(call) { onDeadline(call) } }
+        }
+    }
+
     private fun onDeadline(call: Call) {
         if (call.isFinished) return
         queue.remove(call)
@@ -398,21 +361,56 @@
         } else {
             Refusal(UNAVAILABLE, "time is over while waiting", SHORT_RETRY_MILLIS)
         }
-        refuse(call, refusal)
+        end(call, refusal)
+    }
+
+    private fun onInternalError(call: Call, cause: Throwable) {
+        loop.onTaskFailed("request ${call.id.value}", cause)
+        queue.remove(call)
+        activeCalls -= call
+        if (call.isFinished) return
+        val mayHaveRun = call.isSent || call.executedAttempts > 0 || call.mayHaveExecuted
+        val refusal = if (mayHaveRun) {
+            Refusal(BAD_GATEWAY, INTERNAL_ERROR)
+        } else {
+            Refusal(UNAVAILABLE, INTERNAL_ERROR, SHORT_RETRY_MILLIS)
+        }
+        val headers = runCatching { refusal.headers(codec, call.id) }.getOrDefault(emptyList())
+        call.refuse(refusal.status, headers, refusal.body())
+    }
+
+    // An error in the handling of one call ends that call and no other one.
+    private inline fun guarded(call: Call, action: () -> Unit) {
+        runCatching(action).onFailure { onInternalError(call, it) }
     }
 
     private fun tick() {
         val now = monotonicMillis()
-        crashes.confirm(now)
+        step("crashed endpoints") { crashes.confirm(now) }
         drainQueue()
-        queue.removeExpired(now).forEach { onWaitExpired(it, now) }
-        activeCalls.filter { it.isAwaitingResponse }.forEach { versions.withdrawIfDue(it, now) }
-        activeCalls.filter { it.isSent && it.route.isRepeatable }.forEach { checkStall(it, now) }
-        state.fleet.expire(now).forEach {
-            log.event(EventCode.ENDPOINT_REMOVED) { put("endpoint", it.value) }
+        queue.removeExpired(now).forEach { guarded(it) { onWaitExpired(it, now) } }
+        // The event loop may have been held up: what has arrived until now is read before the
+        // timers run again.
+        if (activeCalls.isNotEmpty()) loop.schedule("silence", 0) { judgeSilence(now) }
+        step("expired endpoints") {
+            state.fleet.expire(now).forEach {
+                log.event(EventCode.ENDPOINT_REMOVED) { put("endpoint", it.value) }
+            }
         }
     }
 
+    private fun step(name: String, action: () -> Unit) {
+        runCatching(action).onFailure { loop.onTaskFailed(name, it) }
+    }
+
+    // Endpoints from which everything that arrived by [untilMillis] has been read.
+    private fun judgeSilence(untilMillis: Long) {
+        activeCalls.filter { it.isAwaitingResponse }
+            .forEach { guarded(it) { versions.withdrawIfDue(it, untilMillis) } }
+        activeCalls.filter { it.isSent && it.route.isRepeatable }
+            .forEach { guarded(it) { checkStall(it, untilMillis) } }
+    }
+
     private fun onWaitExpired(call: Call, nowMillis: Long) {
         // As a last resort, accepts an endpoint that may load weights before the response ends.
         val finalPlacement = placements.place(call, nowMillis, isFinalAttempt = true)
@@ -429,37 +427,37 @@
     private fun drainQueue() {
         val now = monotonicMillis()
         queue.drain { call ->
-            val placement = placements.place(call, now)
-            if (placement is Placement.Send) {
-                send(call, placement)
-                true
-            } else {
-                false
+            var isPlaced = false
+            guarded(call) {
+                val placement = placements.place(call, now)
+                isPlaced = placement is Placement.Send
+                if (placement is Placement.Send) send(call, placement)
             }
+            isPlaced
         }
     }
 
     // Load pattern: connections of a failed or unreachable endpoint stay open but carry no data. A
     // repeatable call is sent to another endpoint, but only to one with free capacity. A sound
-    // endpoint may be silent for a second, so it keeps a stream until the other one responds.
-    private fun checkStall(call: Call, nowMillis: Long) {
+    // endpoint may be silent for a second, so it keeps a response that it has begun until the other
+    // one responds.
+    private fun checkStall(call: Call, untilMillis: Long) {
         if (call.isCommitted && !call.isResumable) return
         // Nothing is read from the endpoint while the caller does not read.
         if (!call.connection.isWritable) return
-        if (nowMillis - call.lastProgressMillis < stallMillis(call.route, call.isCommitted)) return
+        val silentMillis = untilMillis - call.lastProgressMillis
+        if (silentMillis < stallMillis(call.route, call.isCommitted)) return
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return
+        val nowMillis = monotonicMillis()
+        // A call that no other endpoint may get stays where it is.
+        if (crashes.isRefused(call, nowMillis)) return
         val placement = placements.place(call, nowMillis)
         val endpoint = call.endpoint
         if (placement !is Placement.Send || placement.endpoint === endpoint) return
         if (!takeRetryPermit(call, nowMillis)) return
         endpoint?.onSignal(EndpointSignal.TRANSPORT_FAILURE, nowMillis)
         endpoint?.onSlowPath(nowMillis)
-        log.event(EventCode.REQUEST_FAILED) {
-            put("request", call.id.value)
-            put("endpoint", endpoint?.record?.id?.value ?: "")
-            put("reason", "silent")
-            put("silentMillis", nowMillis - call.lastProgressMillis)
-        }
+        callLog.onSilent(call, silentMillis)
         crashes.onLost(call)
         call.leaveSilentEndpoint()
         call.mayHaveExecuted = true
@@ -485,6 +483,7 @@
         const val CONNECT_TIMEOUT_MILLIS = 300
 
         const val SHORT_RETRY_MILLIS = 200L
+        const val INTERNAL_ERROR = "internal error"
 
         // Callers close a stream after two seconds without an event.
         const val RESUME_WAIT_MILLIS = 1500L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EndpointExchange.kt
@@ -43,6 +43,27 @@
     fun onFailure(exchange: EndpointExchange, stage: FailureStage, reason: String)
 }
 
+/** Passes the calls to [listener] on, and those that fail to [onError]. */
+class GuardedExchangeListener(
+    private val listener: ExchangeListener,
+    private val onError: (Throwable) -> Unit
+) : ExchangeListener {
+    override fun onHead(exchange: EndpointExchange, response: HttpResponse) =
+        guarded { listener.onHead(exchange, response) }
+
+    override fun onBody(exchange: EndpointExchange, bytes: ByteArray) =
+        guarded { listener.onBody(exchange, bytes) }
+
+    override fun onEnd(exchange: EndpointExchange) = guarded { listener.onEnd(exchange) }
+
+    override fun onFailure(exchange: EndpointExchange, stage: FailureStage, reason: String) =
+        guarded { listener.onFailure(exchange, stage, reason) }
+
+    private inline fun guarded(action: () -> Unit) {
+        runCatching(action).onFailure(onError)
+    }
+}
+
 /** How far an exchange came before it failed. */
 enum class FailureStage {
     /** Nothing listens at the address. */
@@ -64,11 +85,14 @@
     private val request: EndpointRequest,
     private val listener: ExchangeListener
 ) {
+    /** Whether the end of the response is known without the close of the connection. */
+    var hasLength = false
+        private set
+
     private var channel: Channel? = null
     private var wasSent = false
     private var isRefused = false
     private var isDone = false
-    private var hasLength = false
     private var resetReason: String? = null
 
     /** Connects to the endpoint and sends the request. */
