Check in the soak that each request has a response

A request without a response beside a change of the configuration was no violation in the soak, and no fault changed a time-out, moved a route or added hundreds of them.

New guarantee: a request that was sent completely ends with a complete response or a refusal. Excused are a pause or kill of its entry; inside a response a fault of its endpoint, the deadline, the route's time-out and the last sixth of the grace period; and a request that crosses the close of its connection.

--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/FaultProxy.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/FaultProxy.kt
@@ -10,19 +10,24 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
+import kotlin.random.Random
 
 private const val BUFFER_BYTES = 16 * 1024
 private const val ACCEPT_BACKLOG = 256
 private const val DELAY_MILLIS = 250L
 private const val BLOCKED_POLL_MILLIS = 10L
 private const val CONNECT_TIMEOUT_MILLIS = 1000
+private const val INTERRUPTION_MILLIS = 1000L
+private const val HEAD_BYTES = 160
 
 /** Forwards connections from [host]:[port] to [target]. */
 class FaultProxy(host: String, port: Int, private val target: () -> InetSocketAddress) :
     AutoCloseable {
     private val server = ServerSocket(port, ACCEPT_BACKLOG, InetAddress.getByName(host))
     private val sockets: MutableSet<Socket> = ConcurrentHashMap.newKeySet()
+    private val interruptions = AtomicInteger()
 
     /** Fault mode of the link; setting it to RESET also resets the open connections. */
     @Volatile
@@ -32,6 +37,11 @@
             if (value == LinkMode.RESET) resetAll()
         }
 
+    /** Lets each open connection pause once inside a message of the server, and go on. */
+    fun interruptOnce() {
+        interruptions.incrementAndGet()
+    }
+
     /** HOST:PORT of the proxy. */
     val address: String = "$host:${server.localPort}"
 
@@ -73,6 +83,7 @@
 
     private fun pump(from: Socket, to: Socket, blockingMode: LinkMode) {
         val buffer = ByteArray(BUFFER_BYTES)
+        var interruption = interruptions.get()
         try {
             while (true) {
                 val count = from.getInputStream().read(buffer)
@@ -84,7 +95,12 @@
                     to.shutdownOutput()
                     return
                 }
-                to.getOutputStream().write(buffer, 0, count)
+                if (interruption < interruptions.get() && blockingMode == LinkMode.ANSWERS_CUT) {
+                    interruption = interruptions.get()
+                    writeInterrupted(buffer, count, to)
+                } else {
+                    to.getOutputStream().write(buffer, 0, count)
+                }
             }
         } catch (_: IOException) {
             // One side is closed; resets the other as well.
@@ -93,6 +109,15 @@
         }
     }
 
+    private fun writeInterrupted(buffer: ByteArray, count: Int, to: Socket) {
+        // Every other pause is inside the head, if the bytes begin with one.
+        val isInHead = Random.nextBoolean()
+        val first = Random.nextInt(if (isInHead) minOf(count, HEAD_BYTES) else count)
+        to.getOutputStream().write(buffer, 0, first)
+        Thread.sleep(INTERRUPTION_MILLIS)
+        to.getOutputStream().write(buffer, first, count - first)
+    }
+
     private fun reset(socket: Socket) {
         sockets -= socket
         try {
--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/Main.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/Main.kt
@@ -15,9 +15,9 @@
 private const val MILLIS_PER_SECOND = 1000L
 private const val MAX_SHOWN = 10
 
-// Every second seed spares the entries from faults.
+// The seeds take turns: faults of all kinds, faults that spare the entries, planned work.
 private fun freshSeed(index: Int): Long = Random.nextLong(1, ENTRY_SPARING_SEEDS_FROM) +
-    if (index % 2 == 1) ENTRY_SPARING_SEEDS_FROM else 0
+    listOf(0, ENTRY_SPARING_SEEDS_FROM, PLANNED_WORK_SEEDS_FROM).let { it[index % it.size] }
 
 /** Runs one soak per seed, one after another, and prints a summary line for each. */
 fun main(args: Array<String>) {
@@ -41,7 +41,8 @@
         println(
             "seed $seed: ${result.faults} faults, ${result.outcomes}, " +
                 "${result.recoveredShare} of the worst-served kind served after recovery, " +
-                "${result.boundsChecked} bounds checked, ${result.violations.size} violations"
+                "${result.boundsChecked} bounds checked, ${result.crossed} requests crossed a " +
+                "close, ${result.violations.size} violations"
         )
         result.violations.take(MAX_SHOWN).forEach { println("  ${it.guarantee}: ${it.detail}") }
         result.violations.isNotEmpty()
--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakEndpoint.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakEndpoint.kt
@@ -13,7 +13,6 @@
 import org.toucanspur.standin.platform.LoopbackService
 import org.toucanspur.standin.platform.ModelEngineService
 import org.toucanspur.standin.platform.ObjectStoreService
-import org.toucanspur.standin.platform.PLAIN_SERVICE
 import org.toucanspur.standin.platform.ReceivedRequest
 import org.toucanspur.standin.platform.RunObserver
 import org.toucanspur.standin.platform.endpointDocument
@@ -25,15 +24,16 @@
 private const val ENGINE_PORT = 8001
 private const val PLAIN_WORK_MILLIS = 20L
 
-/** The endpoint with [index] at [host]: a plain endpoint or a model engine. */
+/** The endpoint with [index] at [host]: a plain endpoint of [service] or a model engine. */
 class SoakEndpoint(
     private val index: Int,
     private val host: String,
-    private val isEngine: Boolean,
+    private val service: String,
     private val store: ObjectStoreService,
     private val observations: SoakObservations,
     private val clock: () -> Long
 ) : AutoCloseable {
+    private val isEngine = service == ENGINE_SERVICE
     private val isInTransition = AtomicBoolean()
     private var lastListed = "" to ""
 
@@ -61,6 +61,7 @@
         val name = "i-$index-$number"
         val observer = RunObserver { request, version -> record(number, request, version) }
         val loadObserver = LoadObserver { version, faultyPieces ->
+            observations.onLoad(index, clock())
             if (faultyPieces.isNotEmpty()) {
                 observations.onViolation(
                     "incomplete weights",
@@ -68,12 +69,12 @@
                 )
             }
         }
-        val service = if (isEngine) {
+        val instance = if (isEngine) {
             ModelEngineService(name, SOAK_MODEL, loaded, observer, loadObserver)
         } else {
             EndpointService(name, PLAIN_WORK_MILLIS, observer)
         }
-        return Incarnation(number, name, service)
+        return Incarnation(number, name, instance)
     }
 
     private fun record(number: Int, request: ReceivedRequest, version: Long) {
@@ -91,7 +92,6 @@
     @Synchronized
     fun publishListEntry() {
         val current = incarnation ?: return
-        val service = if (isEngine) ENGINE_SERVICE else PLAIN_SERVICE
         val engine = current.service as? ModelEngineService
         val entry = endpointDocument(service, "$host:$ENDPOINT_PORT", current.state, engine)
         if (current.name to entry != lastListed) store.put("servers", current.name, entry)
--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakObservations.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakObservations.kt
@@ -59,13 +59,34 @@
     MIXED
 }
 
+/** How far a request and its response got on a connection. */
+enum class CallEnd {
+    /** The response arrived completely. */
+    COMPLETE,
+
+    /** The request was not sent completely. */
+    NOT_SENT,
+
+    /** The connection ended before the first byte of the response. */
+    UNANSWERED,
+
+    /** The connection ended inside the response. */
+    CUT,
+
+    /** The caller stopped waiting, later than its deadline. */
+    GIVEN_UP
+}
+
 /** A response as its caller received it. */
 data class CallerResponse(
     val id: String,
     val status: Int,
     val outcome: CallOutcome,
     val detail: String,
-    val atMillis: Long
+    val atMillis: Long,
+    val end: CallEnd = CallEnd.COMPLETE,
+    /** Time at which the last byte of the request was sent. */
+    val sentMillis: Long = atMillis
 )
 
 /** A violated guarantee. */
@@ -76,7 +97,9 @@
     val endpointsMax: Int,
     val revocationMillis: Long,
     val versionMillis: Long,
-    val drainMillis: Long
+    val drainMillis: Long,
+    /** Time in which a request may cross the close of its connection. */
+    val crossingMillis: Long = 200
 )
 
 /** Whether no fault affected requests of an entry to an endpoint in a time span. */
@@ -84,6 +107,11 @@
     fun isUndisturbed(entry: Int, endpointIndex: Int, fromMillis: Long, toMillis: Long): Boolean
 }
 
+/** Whether a fault excuses the missing or incomplete [CallerResponse] of a call after its runs. */
+fun interface LossExcuse {
+    fun excuses(call: SentCall, response: CallerResponse, runs: List<EndpointRun>): Boolean
+}
+
 private class Drain(val endpointIndex: Int, val atMillis: Long)
 
 /** Observations of a run; thread-safe. */
@@ -94,6 +122,7 @@
     private val revocations = ConcurrentHashMap<String, Long>()
     private val drains = ConcurrentHashMap<Int, Drain>()
     private val targetSetTimes = ConcurrentHashMap<Long, Long>()
+    private val loads = ConcurrentLinkedQueue<Pair<Int, Long>>()
     private val violations = ConcurrentLinkedQueue<Violation>()
 
     fun onSent(call: SentCall) {
@@ -123,6 +152,11 @@
         targetSetTimes[version] = atMillis
     }
 
+    /** The endpoint with [endpointIndex] loads weights, which breaks off its streams. */
+    fun onLoad(endpointIndex: Int, atMillis: Long) {
+        loads += endpointIndex to atMillis
+    }
+
     /** Records a violation that is detected outside of this class. */
     fun onViolation(guarantee: String, detail: String) {
         violations += Violation(guarantee, detail)
@@ -151,11 +185,52 @@
         }
     }
 
-    /** All violations; [undisturbed] decides whether a bound applies. */
-    fun verdict(undisturbed: UndisturbedCheck) =
-        violations.toList() + responses.values.mapNotNull(::mixedResponse) +
-            runs.groupBy { it.id }.flatMap { (id, ownRuns) -> callFaults(id, ownRuns) } +
+    /** Number of requests that crossed the close of their connection. */
+    fun crossedCount(): Int {
+        val ownRuns = runs.groupBy { it.id }
+        return responses.values.count { hasCrossedClose(it, ownRuns[it.id].orEmpty()) }
+    }
+
+    /**
+     * All violations; [undisturbed] decides whether a bound applies, [excuse] whether a request may
+     * have no complete response.
+     */
+    fun verdict(excuse: LossExcuse = noExcuse, undisturbed: UndisturbedCheck): List<Violation> {
+        val ownRuns = runs.groupBy { it.id }
+        return violations.toList() + responses.values.mapNotNull(::mixedResponse) +
+            responses.values.mapNotNull { lostRequest(it, ownRuns[it.id].orEmpty(), excuse) } +
+            ownRuns.flatMap { (id, runsOfCall) -> callFaults(id, runsOfCall) } +
             runs.mapNotNull { runViolation(it, undisturbed) }
+    }
+
+    private fun hasCrossedClose(response: CallerResponse, ownRuns: List<EndpointRun>) =
+        response.end == CallEnd.UNANSWERED &&
+            ownRuns.isEmpty() &&
+            response.atMillis - response.sentMillis <= limits.crossingMillis
+
+    private fun lostRequest(
+        response: CallerResponse,
+        ownRuns: List<EndpointRun>,
+        excuse: LossExcuse
+    ): Violation? {
+        val call = sentCalls[response.id] ?: return null
+        val isSettled = response.end == CallEnd.COMPLETE || response.end == CallEnd.NOT_SENT
+        if (isSettled || hasCrossedClose(response, ownRuns)) return null
+        if (response.end == CallEnd.CUT && ownRuns.any { hasLoaded(it, response.atMillis) }) {
+            return null
+        }
+        if (excuse.excuses(call, response, ownRuns)) return null
+        val afterMillis = response.atMillis - response.sentMillis
+        return Violation(
+            "request without a response",
+            "${call.id}, ${call.kind} at entry ${call.entry} with ${ownRuns.size} runs: " +
+                "${response.end} after $afterMillis ms, at ${response.atMillis} ms, " +
+                response.detail
+        )
+    }
+
+    private fun hasLoaded(run: EndpointRun, untilMillis: Long) =
+        loads.any { (index, at) -> index == run.endpointIndex && at in run.atMillis..untilMillis }
 
     private fun mixedResponse(response: CallerResponse): Violation? =
         Violation("mixed response", "${response.id}: ${response.detail}")
@@ -211,5 +286,7 @@
     companion object {
         /** Organisation of all callers of a run. */
         const val ORGANISATION = "callers"
+
+        private val noExcuse = LossExcuse { _, _, _ -> false }
     }
 }
--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakRun.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakRun.kt
@@ -7,11 +7,13 @@
 import java.net.InetSocketAddress
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 import kotlin.random.Random
 import org.toucanspur.standin.platform.ConfigurationDocument
+import org.toucanspur.standin.platform.ConnectionTimeoutsDocument
 import org.toucanspur.standin.platform.ENGINE_SERVICE
 import org.toucanspur.standin.platform.ObjectStoreService
 import org.toucanspur.standin.platform.OriginService
@@ -20,7 +22,8 @@
 
 /**
  * Result of a run. [recoveredShare] is the served fraction of the worst-served kind of request
- * after the last fault; [boundsChecked] is the number of bounds that applied.
+ * after the last fault; [boundsChecked] is the number of bounds that applied; [crossed] that of
+ * requests that crossed the close of their connection.
  */
 data class SoakResult(
     val seed: Long,
@@ -28,6 +31,7 @@
     val outcomes: Map<CallOutcome, Int>,
     val recoveredShare: Double,
     val boundsChecked: Int,
+    val crossed: Int,
     val violations: List<Violation>,
     val directory: Path
 )
@@ -51,13 +55,21 @@
     private val store = ObjectStoreService()
     private val origin = OriginService(SOAK_MODEL)
     private val endpoints = List(PLAIN_ENDPOINTS + ENGINES) {
-        val host = if (it < PLAIN_ENDPOINTS) {
-            "$subnet.${PLAIN_HOST + it}"
-        } else {
-            agentHost(it - PLAIN_ENDPOINTS)
-        }
-        SoakEndpoint(it, host, it >= PLAIN_ENDPOINTS, store, observations, ::nowMillis)
+        val isPlain = it < PLAIN_ENDPOINTS
+        val host = if (isPlain) "$subnet.${PLAIN_HOST + it}" else agentHost(it - PLAIN_ENDPOINTS)
+        val service = if (isPlain) PLAIN_SERVICE else ENGINE_SERVICE
+        SoakEndpoint(it, host, service, store, observations, ::nowMillis)
     }
+
+    // No target of faults; takes the requests of routes that are moved.
+    private val otherEndpoint = SoakEndpoint(
+        endpoints.size,
+        "$subnet.${PLAIN_HOST + PLAIN_ENDPOINTS}",
+        OTHER_SERVICE,
+        store,
+        observations,
+        ::nowMillis
+    )
     private val storeLinks = List(ENTRIES + ENGINES) {
         FaultProxy(processHost(it), STORE_PORT) { store.socketAddress }
     }
@@ -69,6 +81,10 @@
         trafficMillis,
         SoakTargets(ENTRIES, ENGINES, endpoints.size)
     )
+
+    // The faults with the times at which they started and ended.
+    private val injected = ConcurrentLinkedQueue<SoakFault>()
+    private val configurationFaults = ArrayList<SoakFault>()
     private val storeLinkFaults = List(processes.size) { AtomicLong() }
     private val endpointLinkFaults = endpoints.map { AtomicLong() }
     private val storeOutages = AtomicLong()
@@ -76,6 +92,12 @@
     private val keys = CopyOnWriteArrayList(listOf("key-0", "key-1"))
     private val callerKeys = CopyOnWriteArrayList(keys)
     private var configurationVersion = 0
+
+    @Volatile
+    private var idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS
+
+    // Time-outs of the routes, with the times at which they were published.
+    private val routeTimeouts = ConcurrentLinkedQueue<Pair<Long, Long>>()
     private var weightVersion = 1L
 
     @Volatile
@@ -138,7 +160,7 @@
             isFinished = true
             killAll()
             Runtime.getRuntime().removeShutdownHook(cleanup)
-            (endpoints + storeLinks + listOf(store, origin)).forEach { it.close() }
+            (endpoints + otherEndpoint + storeLinks + listOf(store, origin)).forEach { it.close() }
         }
     }
 
@@ -155,7 +177,7 @@
 
     private fun publishEndpointsPeriodically() {
         while (!isFinished) {
-            endpoints.forEach { it.publishListEntry() }
+            (endpoints + otherEndpoint).forEach { it.publishListEntry() }
             Thread.sleep(LIST_INTERVAL_MILLIS)
         }
     }
@@ -171,33 +193,76 @@
                 ::nowMillis,
                 { callerKeys },
                 random
-            )
+            ) { minOf(idleTimeoutMillis * IDLE_REUSE_PERCENT / PERCENT, MAX_IDLE_MILLIS) }
         while (!isFinished) {
-            caller.callOnce()
+            if (isPlannedWorkSeed(seed)) {
+                caller.callIn(CallManner.entries.random(random))
+            } else {
+                caller.callOnce()
+            }
             Thread.sleep(random.nextLong(MAX_THINK_MILLIS))
         }
     }
 
     @Synchronized
     private fun publishConfiguration() {
+        val timeoutMillis = value(FaultKind.ROUTE_TIMEOUT, routeTimeoutsMillis)
+            ?: DEFAULT_ROUTE_TIMEOUT_MILLIS
+        routeTimeouts += nowMillis() to timeoutMillis
+        val plainService = if (isChanged(FaultKind.ROUTE_MOVED)) OTHER_SERVICE else PLAIN_SERVICE
+        val added = if (isChanged(FaultKind.ROUTES_ADDED)) ADDED_ROUTES else 0
         val routes = listOf(
-            route(CallKind.IDEMPOTENT, "idempotent", PLAIN_SERVICE, limits.endpointsMax),
-            route(CallKind.AT_MOST_ONCE, "non_idempotent", PLAIN_SERVICE, 1),
+            route(CallKind.IDEMPOTENT, "idempotent", plainService, limits.endpointsMax),
+            route(CallKind.AT_MOST_ONCE, "non_idempotent", plainService, 1),
             route(CallKind.STREAM, "streaming", ENGINE_SERVICE, limits.endpointsMax)
-        )
+        ) + List(added) {
+            RouteDocument("host-$it.example", "/added/$it/", "idempotent", PLAIN_SERVICE, 1)
+        }
+        idleTimeoutMillis = value(FaultKind.IDLE_TIMEOUT, idleTimeoutsMillis)
+            ?: DEFAULT_IDLE_TIMEOUT_MILLIS
+        val headerMillis = value(FaultKind.HEADER_TIMEOUT, headerTimeoutsMillis)
+            ?: DEFAULT_HEADER_TIMEOUT_MILLIS
         val document = ConfigurationDocument(
             ++configurationVersion,
             routes,
             SOAK_MODEL,
             origin.address,
             SoakObservations.ORGANISATION,
-            keys
+            keys,
+            ConnectionTimeoutsDocument(idleTimeoutMillis, headerMillis),
+            listOf(PLAIN_SERVICE, OTHER_SERVICE)
         )
         store.put("config", "main", document.json())
     }
 
-    private fun route(kind: CallKind, platformKind: String, service: String, endpointsMax: Int) =
-        RouteDocument(SOAK_HOST, kind.path, platformKind, service, endpointsMax)
+    private fun isChanged(kind: FaultKind) = configurationFaults.any { it.kind == kind }
+
+    // The latest of several changes that overlap is in force.
+    private fun value(kind: FaultKind, values: List<Long>): Long? =
+        configurationFaults.lastOrNull { it.kind == kind }?.let { values[it.target] }
+
+    private fun route(
+        kind: CallKind,
+        platformKind: String,
+        service: String,
+        endpointsMax: Int
+    ): RouteDocument {
+        val timeoutMillis = checkNotNull(routeTimeouts.lastOrNull()).second
+        return RouteDocument(
+            SOAK_HOST,
+            kind.path,
+            platformKind,
+            service,
+            endpointsMax,
+            timeoutMillis
+        )
+    }
+
+    @Synchronized
+    private fun setConfigurationFault(fault: SoakFault, isActive: Boolean) {
+        if (isActive) configurationFaults += fault else configurationFaults -= fault
+        publishConfiguration()
+    }
 
     @Synchronized
     private fun revokeKey() {
@@ -220,14 +285,18 @@
 
     private fun inject(fault: SoakFault, startMillis: Long) {
         Thread.sleep(maxOf(0, startMillis + fault.atMillis - nowMillis()))
+        val atMillis = nowMillis() - startMillis
+        // Recorded before its end, because it affects requests that end before that.
+        val isProcessEnd = fault.kind == FaultKind.KILL || fault.kind == FaultKind.TERMINATE
+        if (!isProcessEnd) injected += fault.copy(atMillis = atMillis)
         when (fault.kind.target) {
-            TargetKind.PROCESS -> injectIntoProcess(fault)
+            TargetKind.PROCESS -> injectIntoProcess(fault, startMillis)
             TargetKind.ENDPOINT -> injectIntoEndpoint(fault, endpoints[fault.target])
             TargetKind.SHARED -> injectShared(fault)
         }
     }
 
-    private fun injectIntoProcess(fault: SoakFault) {
+    private fun injectIntoProcess(fault: SoakFault, startMillis: Long) {
         val process = processes[fault.target]
         when (fault.kind) {
             FaultKind.PAUSE -> {
@@ -242,19 +311,22 @@
             ) { isActive ->
                 storeLinks[fault.target].mode = if (isActive) fault.mode else LinkMode.NORMAL
             }
-            else -> restart(process, fault)
+            else -> restart(process, fault, startMillis)
         }
     }
 
-    private fun restart(process: SoakProcess, fault: SoakFault) = synchronized(process) {
-        val isKill = fault.kind == FaultKind.KILL
-        process.signal(if (isKill) "KILL" else "TERM")
-        if (!process.awaitExit(GRACE_SECONDS * MILLIS_PER_SECOND)) process.signal("KILL")
-        process.awaitExit(GRACE_SECONDS * MILLIS_PER_SECOND)
-        process.exitFault()?.let { observations.onViolation("unexpected exit", it) }
-        if (isKill) Thread.sleep(fault.lastsMillis)
-        process.start()
-    }
+    private fun restart(process: SoakProcess, fault: SoakFault, startMillis: Long) =
+        synchronized(process) {
+            val isKill = fault.kind == FaultKind.KILL
+            val atMillis = nowMillis() - startMillis
+            injected += fault.copy(atMillis = atMillis)
+            process.signal(if (isKill) "KILL" else "TERM")
+            if (!process.awaitExit(GRACE_SECONDS * MILLIS_PER_SECOND)) process.signal("KILL")
+            process.awaitExit(GRACE_SECONDS * MILLIS_PER_SECOND)
+            process.exitFault()?.let { observations.onViolation("unexpected exit", it) }
+            if (isKill) Thread.sleep(fault.lastsMillis)
+            process.start()
+        }
 
     private fun injectIntoEndpoint(fault: SoakFault, endpoint: SoakEndpoint) = when (fault.kind) {
         FaultKind.ENDPOINT_LINK -> applyFor(
@@ -263,6 +335,7 @@
         ) { isActive ->
             endpoint.link.mode = if (isActive) fault.mode else LinkMode.NORMAL
         }
+        FaultKind.SILENCE -> endpoint.link.interruptOnce()
         FaultKind.CRASH -> endpoint.crash(fault.lastsMillis)
         FaultKind.DRAIN -> endpoint.drain(DRAIN_MILLIS + fault.lastsMillis)
         else -> endpoint.corruptStagedPiece()
@@ -273,6 +346,11 @@
         FaultKind.ORIGIN_DOWN -> applyFor(originOutages, fault.lastsMillis) { origin.isDown = it }
         FaultKind.STORE_COMPACTED -> store.compact()
         FaultKind.KEY_REVOKED -> revokeKey()
+        in configurationKinds -> {
+            setConfigurationFault(fault, isActive = true)
+            Thread.sleep(fault.lastsMillis)
+            setConfigurationFault(fault, isActive = false)
+        }
         else -> setNextTargetVersion()
     }
 
@@ -323,23 +401,57 @@
                 toMillis - startMillis
             )
         }
+        val actual = SoakDisturbances(
+            injected.toList(),
+            SettleLimits(SETTLE_MILLIS, GRACE_SECONDS * MILLIS_PER_SECOND)
+        )
+        val excuse = LossExcuse { call, response, runs ->
+            val isBegun = response.end == CallEnd.CUT || response.status != 0
+            val deadlineMillis = minOf(routeTimeoutMillis(call, response), DEADLINE_MILLIS.toLong())
+            val isDeadlineReached = response.atMillis - response.sentMillis >= deadlineMillis
+            val incomplete = IncompleteResponse(
+                call.entry,
+                runs.map { it.endpointIndex }.toSet(),
+                isBegun,
+                call.atMillis - startMillis,
+                response.atMillis - startMillis
+            )
+            isBegun && isDeadlineReached || actual.excuses(incomplete)
+        }
         return SoakResult(
             seed,
             plan.size,
             observations.counts(),
             recoveredShare,
             observations.boundsChecked(ENTRIES, PLAIN_ENDPOINTS until endpoints.size, undisturbed),
-            observations.verdict(undisturbed),
+            observations.crossedCount(),
+            observations.verdict(excuse, undisturbed),
             directory
         )
     }
 
+    // Shortest time-out that may have been in force when the entry read the request of the call.
+    private fun routeTimeoutMillis(call: SentCall, response: CallerResponse): Long {
+        val published = routeTimeouts.toList()
+        return published.mapIndexed { index, (fromMillis, timeoutMillis) ->
+            val untilMillis = published.getOrNull(index + 1)?.first ?: response.atMillis
+            val isPossible =
+                fromMillis <= response.atMillis && untilMillis + APPLY_MILLIS >= call.atMillis
+            if (isPossible) timeoutMillis else Long.MAX_VALUE
+        }.min()
+    }
+
     private companion object {
         const val FIRST_SUBNET = 20
         const val SUBNETS = 200
         const val ENTRIES = 2
         const val ENGINES = 3
         const val PLAIN_ENDPOINTS = 2
+        const val OTHER_SERVICE = "other"
+        const val ADDED_ROUTES = 600
+        const val DEFAULT_IDLE_TIMEOUT_MILLIS = 15_000L
+        const val DEFAULT_HEADER_TIMEOUT_MILLIS = 3000L
+        const val DEFAULT_ROUTE_TIMEOUT_MILLIS = 5000L
         const val ENTRY_HOST = 1
         const val AGENT_HOST = 11
         const val PLAIN_HOST = 21
@@ -351,6 +463,11 @@
         const val CALLERS = 12
         const val MAX_THINK_MILLIS = 120L
         const val MAX_CALLER_KEYS = 3
+
+        // Callers reuse a connection that has been idle for up to four fifths of the limit.
+        const val IDLE_REUSE_PERCENT = 80
+        const val PERCENT = 100
+        const val MAX_IDLE_MILLIS = 4000L
         const val PROBES = 4
 
         // Endpoint changes appear in the list within a heartbeat.
@@ -364,6 +481,7 @@
         const val VERSION_MILLIS = 8000L
         const val GRACE_SECONDS = 8L
         const val SETTLE_MILLIS = 4000L
+        const val APPLY_MILLIS = 2000L
         const val RECOVERY_MILLIS = 15_000L
         const val MIN_SERVED_SHARE = 0.25
         const val MILLIS_PER_SECOND = 1000L
--- a/bench/src/test/kotlin/org/toucanspur/bench/soak/SoakDisturbancesTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/soak/SoakDisturbancesTest.kt
@@ -51,6 +51,51 @@
                 isUndisturbed(fault(FaultKind.VERSION_NAMED), 11_000) shouldBe true
             }
         }
+        describe("a missing or incomplete response") {
+            fun excuses(
+                fault: SoakFault,
+                isBegun: Boolean,
+                toMillis: Long,
+                fromMillis: Long = 9000
+            ) = SoakDisturbances(listOf(fault), limits).excuses(
+                IncompleteResponse(0, setOf(1), isBegun, fromMillis, toMillis)
+            )
+            it("is excused by a pause or kill of its entry until the entry has settled") {
+                listOf(FaultKind.PAUSE, FaultKind.KILL).forEach { kind ->
+                    excuses(fault(kind), false, toMillis = 9999) shouldBe false
+                    excuses(fault(kind), false, toMillis = 10_000) shouldBe true
+                    excuses(fault(kind), false, 16_000, fromMillis = 15_000) shouldBe true
+                    excuses(fault(kind), false, 16_000, fromMillis = 15_001) shouldBe false
+                    excuses(fault(kind, target = 1), true, toMillis = 10_000) shouldBe false
+                }
+            }
+            it("is excused by a fault of its endpoint only once it has begun") {
+                listOf(FaultKind.CRASH, FaultKind.DRAIN, FaultKind.ENDPOINT_LINK).forEach { kind ->
+                    excuses(fault(kind, target = 1), true, toMillis = 10_000) shouldBe true
+                    excuses(fault(kind, target = 1), false, toMillis = 10_000) shouldBe false
+                    excuses(fault(kind, target = 0), true, toMillis = 10_000) shouldBe false
+                }
+            }
+            it("is excused by SIGTERM only in the last sixth of the grace period") {
+                val stop = fault(FaultKind.TERMINATE)
+                excuses(stop, true, toMillis = 16_666) shouldBe false
+                excuses(stop, true, toMillis = 16_667) shouldBe true
+                excuses(stop, false, toMillis = 16_667) shouldBe false
+            }
+            it("is not excused by other signals, the store or changes of the configuration") {
+                val others = FaultKind.entries - listOf(
+                    FaultKind.PAUSE,
+                    FaultKind.KILL,
+                    FaultKind.TERMINATE,
+                    FaultKind.CRASH,
+                    FaultKind.DRAIN,
+                    FaultKind.ENDPOINT_LINK
+                )
+                others.none { kind ->
+                    (0..1).any { excuses(fault(kind, it), true, toMillis = 10_000) }
+                } shouldBe true
+            }
+        }
         describe("fifty entry-sparing seeds") {
             it("leave entries undisturbed for many drain and weight version bounds") {
                 fun undisturbedSpans(kind: FaultKind, boundMillis: Long) = (1L..50L).sumOf { seed ->
--- a/bench/src/test/kotlin/org/toucanspur/bench/soak/SoakObservationsTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/soak/SoakObservationsTest.kt
@@ -79,6 +79,68 @@
                 verdict() shouldBe listOf("mixed response")
             }
         }
+        describe("a request that was sent completely") {
+            fun ended(id: String, end: CallEnd, afterMillis: Long, status: Int = 0) {
+                val outcome = CallOutcome.BROKEN_OFF
+                observations.onResponse(
+                    CallerResponse(id, status, outcome, "", afterMillis, end, sentMillis = 0)
+                )
+            }
+            it("must not end without a response once an endpoint has run it") {
+                sent("a")
+                run("a")
+                ended("a", CallEnd.UNANSWERED, afterMillis = 10)
+                verdict() shouldBe listOf("request without a response")
+                observations.crossedCount() shouldBe 0
+            }
+            it("may cross the close of its connection when no endpoint has run it") {
+                sent("a")
+                ended("a", CallEnd.UNANSWERED, afterMillis = 200)
+                verdict().shouldBeEmpty()
+                observations.crossedCount() shouldBe 1
+            }
+            it("must not end without a response later than a request crosses a close") {
+                sent("a")
+                ended("a", CallEnd.UNANSWERED, afterMillis = 201)
+                verdict() shouldBe listOf("request without a response")
+            }
+            it("must not end inside its response") {
+                sent("a")
+                run("a")
+                ended("a", CallEnd.CUT, afterMillis = 10, status = 200)
+                verdict() shouldBe listOf("request without a response")
+            }
+            it("must not stay without a response until its caller gives up") {
+                sent("a")
+                ended("a", CallEnd.GIVEN_UP, afterMillis = 8000)
+                verdict() shouldBe listOf("request without a response")
+            }
+            it("may end inside its response when its endpoint loads weights meanwhile") {
+                sent("a", CallKind.STREAM)
+                run("a", CallKind.STREAM)
+                ended("a", CallEnd.CUT, afterMillis = 10, status = 200)
+                observations.onLoad(0, 11)
+                verdict() shouldBe listOf("request without a response")
+                observations.onLoad(0, 10)
+                verdict().shouldBeEmpty()
+            }
+            it("may end without a response because of a fault that excuses it") {
+                sent("a")
+                run("a")
+                ended("a", CallEnd.UNANSWERED, afterMillis = 10)
+                observations.verdict({ _, _, runs -> runs.size == 1 }) { _, _, _, _ -> true }
+                    .shouldBeEmpty()
+            }
+        }
+        describe("a request that was not sent completely") {
+            it("may end without a response") {
+                sent("a")
+                observations.onResponse(
+                    CallerResponse("a", 0, CallOutcome.BROKEN_OFF, "", 900, CallEnd.NOT_SENT, 0)
+                )
+                verdict().shouldBeEmpty()
+            }
+        }
         describe("the end of a run") {
             it("reports the served share of each kind separately") {
                 sent("a", CallKind.AT_MOST_ONCE, 10)
--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/Documents.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/Documents.kt
@@ -29,30 +29,45 @@
     private val prefix: String,
     private val kind: String,
     private val service: String,
-    private val endpointsMax: Int
+    private val endpointsMax: Int,
+    private val timeoutMillis: Long = DEFAULT_TIMEOUT_MILLIS
 ) {
     /** The route in JSON. */
     fun json(): String = """{"name":"$prefix","host":"$host","path-prefix":"$prefix",""" +
-        """"kind":"$kind","timeout-ms":5000,"target-latency-ms":400,"priority":1,""" +
+        """"kind":"$kind","timeout-ms":$timeoutMillis,"target-latency-ms":400,"priority":1,""" +
         """"service":"$service","attempts":$endpointsMax,"can-resume":true}"""
+
+    private companion object {
+        const val DEFAULT_TIMEOUT_MILLIS = 5000L
+    }
+}
+
+/** Time-outs of callers' connections as the operator writes them. */
+class ConnectionTimeoutsDocument(private val idleMillis: Long, private val headerMillis: Long) {
+    /** The time-outs in JSON. */
+    fun json(): String = """{"header-timeout-ms":$headerMillis,"idle-timeout-ms":$idleMillis}"""
 }
 
-/** A configuration with a plain service, an engine service for [model] and a weight origin. */
+/** A configuration with [plainServices], an engine service for [model] and a weight origin. */
 class ConfigurationDocument(
     private val version: Int,
     private val routes: List<RouteDocument>,
     private val model: String,
     private val originAddress: String,
     private val organisation: String,
-    private val keys: List<String>
+    private val keys: List<String>,
+    private val timeouts: ConnectionTimeoutsDocument? = null,
+    private val plainServices: List<String> = listOf(PLAIN_SERVICE)
 ) {
     /** The configuration in JSON. */
     fun json(): String {
         val engineParameters = """{"slots":12,"step_ms":7.4,"read_per_s":31900.0,"stride":6,""" +
             """"usual":{"prompt":900,"answer":100},"models":[{"name":"$model"}]}"""
         val quoted = keys.joinToString(",") { "\"$it\"" }
-        return """{"version":$version,"routes":[${routes.joinToString(",") { it.json() }}],
-            "services":[{"name":"$PLAIN_SERVICE","connection-limit":100},
+        val limits = timeouts?.let { """"limits":${it.json()},""" }.orEmpty()
+        val plain = plainServices.joinToString("") { """{"name":"$it","connection-limit":100},""" }
+        return """{"version":$version,$limits"routes":[${routes.joinToString(",") { it.json() }}],
+            "services":[$plain
             {"name":"$ENGINE_SERVICE","connection-limit":100,"engine":$engineParameters},
             {"name":"weights","origin":"$originAddress","zone":"z","connection-limit":20}],
             "tenants":[{"name":"$organisation","api-keys":[$quoted]}]}"""
--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/EndpointService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/EndpointService.kt
@@ -25,14 +25,27 @@
 internal fun HttpExchange.targetsInstance(name: String): Boolean =
     header("X-Expected-Instance").let { it == null || it == name }
 
-/** Body of a signed response to the request with [id]; callers check it against [signature]. */
-fun signedBody(signature: String, id: String): ByteArray {
-    val padding = "x".repeat(Math.floorMod(id.hashCode(), MAX_PADDING_CHARS))
+/** End of the path of a request whose response does not fit into the buffers of a socket. */
+const val LARGE_RESPONSE_PATH = "/large"
+
+/**
+ * Body of a signed response to the request with [id] for [path]; callers check it against
+ * [signature].
+ */
+fun signedBody(signature: String, id: String, path: String = ""): ByteArray {
+    val isLarge = path.endsWith(LARGE_RESPONSE_PATH)
+    val minChars = if (isLarge) MIN_LARGE_PADDING_CHARS else 0
+    val maxChars = if (isLarge) MAX_LARGE_PADDING_CHARS else MAX_PADDING_CHARS
+    val padding = "x".repeat(minChars + Math.floorMod(id.hashCode(), maxChars - minChars))
     return "$signature|$id|$padding|end".encodeToByteArray()
 }
 
 private const val MAX_PADDING_CHARS = 20_000
 
+// About the size of the socket buffers between an entry and a caller that does not read.
+private const val MIN_LARGE_PADDING_CHARS = 3_600_000
+private const val MAX_LARGE_PADDING_CHARS = 4_600_000
+
 /** The endpoint [name], which takes [workMillis] for each request. */
 class EndpointService(
     private val name: String,
@@ -55,7 +68,7 @@
         val signature = "$name.${System.nanoTime()}"
         exchange.respond(
             OK,
-            signedBody(signature, request.id),
+            signedBody(signature, request.id, request.path),
             SIGNATURE_HEADER to signature,
             REQUEST_ID_HEADER to request.id
         )
