--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.nio.AbstractNioChannel
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -35,7 +36,7 @@
 
 /** Receives the requests and state changes of connections. */
 interface CallerConnectionListener {
-    /** Maximum size of a request body. */
+    /** Maximum size of the body of a request whose head arrives now. */
     val bodyMaxBytes: Int
 
     /** Whether responses announce that the connection will be closed. */
@@ -64,10 +65,15 @@
     private var head: HttpRequest? = null
     private val bodyParts = ArrayList<ByteBuf>()
     private var bodyBytes = 0
+    private var bodyMaxBytes = 0
+
+    // Limits under which the heads arrived that are not handled yet.
+    private val arrivedBodyMaxBytes = ArrayDeque<Int>()
     private val queuedMessages = ArrayDeque<Any>()
     private var isKeepAlive = true
     private var isResponding = false
     private var isInputDiscarded = false
+    private var isReceivingHead = false
     private var lastActiveMillis = monotonicMillis()
     private var deadlineMillis = 0L
     private var observedUnsentBytes = 0L
@@ -76,7 +82,8 @@
     val isIdle: Boolean get() = head == null && !isResponding
 
     /** Whether the connection is idle and all responses are written to the socket. */
-    val isDrained: Boolean get() = isIdle && queuedMessages.isEmpty() && !hasPendingWrites
+    val isDrained: Boolean
+        get() = isIdle && !isReading && queuedMessages.isEmpty() && !hasPendingWrites
 
     /** Number of response bytes that the socket has not accepted yet. */
     val unsentBytes: Long
@@ -85,11 +92,21 @@
 
     private val hasPendingWrites: Boolean get() = unsentBytes > 0
 
-    private val isReading: Boolean get() = !isResponding && head != null
+    private val isReading: Boolean
+        get() = !isResponding && !isInputDiscarded && (head != null || isReceivingHead)
 
     /** Whether the write buffer of the connection has room. */
     val isWritable: Boolean get() = context.channel().isWritable
 
+    /** Records whether the head of a request [isReceived] in part; its time-out starts once. */
+    fun onPartialHead(isReceived: Boolean) {
+        if (isReceived && !isReceivingHead) lastActiveMillis = monotonicMillis()
+        isReceivingHead = isReceived
+    }
+
+    /** Refuses a request that was received in part, and closes the connection. */
+    fun refuseIncomplete() = reject(HttpResponseStatus.REQUEST_TIMEOUT)
+
     /** Keeps the connection open for a response that is due by [millis]. */
     fun extendDeadline(millis: Long) {
         deadlineMillis = maxOf(deadlineMillis, millis)
@@ -109,6 +126,13 @@
         )
     }
 
+    /** Reads what has arrived and writes what the socket accepts, without waiting for a select. */
+    fun transfer() {
+        val unsafe = context.channel().unsafe() as? AbstractNioChannel.NioUnsafe ?: return
+        if (context.channel().isActive) unsafe.forceFlush()
+        if (context.channel().isActive && context.channel().config().isAutoRead) unsafe.read()
+    }
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
@@ -120,8 +144,12 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         lastActiveMillis = monotonicMillis()
+        if (isInputDiscarded) {
+            ReferenceCountUtil.release(message)
+            return
+        }
+        if (message is HttpRequest) arrivedBodyMaxBytes.addLast(listener.bodyMaxBytes)
         when {
-            isInputDiscarded -> ReferenceCountUtil.release(message)
             isResponding || queuedMessages.isNotEmpty() -> {
                 queuedMessages.addLast(message)
                 ctx.channel().config().isAutoRead = queuedMessages.size < QUEUED_MESSAGES_MAX
@@ -139,6 +167,7 @@
     }
 
     private fun onHead(request: HttpRequest): Boolean {
+        bodyMaxBytes = arrivedBodyMaxBytes.removeFirst()
         if (request.decoderResult().isFailure) {
             val cause = request.decoderResult().cause()
             val isTooLong = cause is TooLongFrameException
@@ -153,7 +182,7 @@
         }
         head = request
         isKeepAlive = HttpUtil.isKeepAlive(request)
-        if (HttpUtil.getContentLength(request, 0L) > listener.bodyMaxBytes) {
+        if (HttpUtil.getContentLength(request, 0L) > bodyMaxBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             return false
         }
@@ -172,7 +201,7 @@
             return
         }
         bodyBytes += content.content().readableBytes()
-        if (bodyBytes > listener.bodyMaxBytes) {
+        if (bodyBytes > bodyMaxBytes) {
             content.release()
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             return
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -3,6 +3,7 @@
  */
 package org.toucanspur.daemon.gateway
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
 import java.net.InetSocketAddress
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
@@ -57,14 +59,11 @@
     }
 
     private fun initializeChannel(channel: Channel) {
-        val headerMax = state.callerLimits.headerMaxBytes
-        val config = HttpDecoderConfig()
-            .setMaxInitialLineLength(headerMax)
-            .setMaxHeaderSize(headerMax)
+        val connection = CallerConnection(this)
         channel.pipeline().addLast(
-            StrictRequestDecoder(config),
+            StrictRequestDecoder(connection) { state.callerLimits.headerMaxBytes },
             HttpResponseEncoder(),
-            CallerConnection(this)
+            connection
         )
     }
 
@@ -91,25 +90,34 @@
         calls[connection]?.takeUnless { it.isFinished }?.setReading(isWritable)
     }
 
-    internal fun closeTimedOut() {
-        val now = monotonicMillis()
-        connections.toList().forEach { connection ->
-            val activity = connection.observe()
-            state.callerTimeouts.expired(activity, now)?.let { timeout ->
-                report(timeout, activity, now)
-                connection.close()
-            }
+    internal fun closeTimedOut() = connections.toList().forEach { connection ->
+        if (expired(connection) == null) return@forEach
+        // After a pause or a long task, the selector has not been asked since the request arrived.
+        connection.transfer()
+        if (connection in connections) expired(connection)?.let { close(connection, it) }
+    }
+
+    private fun expired(connection: CallerConnection): CallerTimeout? =
+        state.callerTimeouts.expired(connection.observe(), monotonicMillis())
+
+    private fun close(connection: CallerConnection, timeout: CallerTimeout) {
+        report(timeout, connection.observe(), monotonicMillis())
+        if (timeout == CallerTimeout.INCOMPLETE_REQUEST) {
+            connection.refuseIncomplete()
+        } else {
+            connection.close()
         }
     }
 
     private fun report(timeout: CallerTimeout, activity: CallerActivity, nowMillis: Long) {
-        log.event(EventCode.CALLER_TIMED_OUT, isEssential = activity.unsentBytes > 0) {
+        val isCut = timeout == CallerTimeout.UNREAD_RESPONSE
+        log.event(EventCode.CALLER_TIMED_OUT, isEssential = isCut) {
             put("reason", timeout.reason)
             put("inactiveMillis", nowMillis - activity.lastProgressMillis)
             put("unsentBytes", activity.unsentBytes)
             put("configuration", state.configuration?.version ?: 0)
         }
-        metrics.onTimedOut(timeout.reason, activity.unsentBytes)
+        metrics.onTimedOut(timeout.reason, isCut)
     }
 
     override fun onInternalError(connection: CallerConnection, cause: Throwable) {
@@ -128,7 +136,10 @@
     /** Stops listening and closes idle connections. */
     fun closeIdle() {
         listener?.close()
-        connections.filter { it.isDrained }.forEach { it.close() }
+        connections.filter { it.isDrained }.forEach {
+            it.transfer()
+            if (it.isDrained) it.close()
+        }
     }
 
     /** Whether a request is being received or processed, or a response is not yet written. */
@@ -147,9 +158,49 @@
 
 /**
  * Rejects a request with both Content-Length and Transfer-Encoding: two parsers may disagree on
- * where it ends, which allows request smuggling.
+ * where it ends, which allows request smuggling. Each request is judged by the value of
+ * [currentHeaderMaxBytes] when it begins to arrive; a decoder has one limit, so it is replaced.
  */
-private class StrictRequestDecoder(config: HttpDecoderConfig) : HttpRequestDecoder(config) {
+private class StrictRequestDecoder(
+    private val connection: CallerConnection,
+    private val headerMaxBytes: Int,
+    private val currentHeaderMaxBytes: () -> Int
+) : HttpRequestDecoder(
+    HttpDecoderConfig()
+        .setMaxInitialLineLength(headerMaxBytes)
+        .setMaxHeaderSize(headerMaxBytes)
+) {
+    private var isInsideHead = false
+    private var isInsideBody = false
+
+    constructor(connection: CallerConnection, currentHeaderMaxBytes: () -> Int) :
+        this(connection, currentHeaderMaxBytes(), currentHeaderMaxBytes)
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        val isBetweenRequests = !isInsideHead && !isInsideBody
+        if (isBetweenRequests && currentHeaderMaxBytes() != headerMaxBytes) {
+            val successor = StrictRequestDecoder(connection, currentHeaderMaxBytes)
+            context.pipeline().replace(this, null, successor)
+            context.fireChannelRead(message)
+            return
+        }
+        super.channelRead(context, message)
+        if (actualReadableBytes() > 0 && !isInsideBody) isInsideHead = true
+        connection.onPartialHead(isInsideHead)
+    }
+
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        isInsideHead = true
+        return super.createMessage(initialLine)
+    }
+
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        super.decode(context, buffer, out)
+        val last = out.lastOrNull() ?: return
+        isInsideHead = false
+        isInsideBody = last !is LastHttpContent
+    }
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
 }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldContainOnlyOnce
 import java.net.Socket
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
@@ -125,12 +126,29 @@
                 gateway.count("toucanspur.callers.timed.out") shouldBe 1
                 gateway.count("toucanspur.callers.cut") shouldBe 0
             }
+            // Guards against closing a connection whose request lies unread in the socket.
+            it("stays open if a request has arrived while the event loop was held up") {
+                val idleMillis = 2000L
+                val gateway = gateway(limits(idleMillis = idleMillis))
+                connect(gateway).use { caller ->
+                    caller.exchange() shouldBe "HTTP/1.1 200 OK"
+                    gateway.checkTimeouts {
+                        caller.send(head())
+                        Thread.sleep(idleMillis + 1)
+                    }
+                    caller.readResponse() shouldBe "HTTP/1.1 200 OK"
+                }
+            }
         }
         describe("a request that is received in part") {
             val partial = mapOf(
+                "its head" to "POST /once/ HTTP/1.1\r\nHost: h\r\nId: ",
+                "a line of its head" to "POST /once/ HTTP/1.1\r\nHost: h\r\n",
                 "its body" to head("Content-Length: 5\r\n") + "he"
             )
             val rest = mapOf(
+                "its head" to "r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n",
+                "a line of its head" to "Id: r1\r\nKey: k\r\nContent-Length: 0\r\n\r\n",
                 "its body" to "llo"
             )
             partial.forEach { (part, begin) ->
@@ -145,6 +163,54 @@
                         caller.exchange(rest.getValue(part)) shouldBe "HTTP/1.1 200 OK"
                     }
                 }
+                // Guards against closing the connection of a request without a response.
+                it("gets 408 at its time-out: $part") {
+                    val gateway = gateway(limits(headerMillis = SHORT_MILLIS))
+                    connect(gateway).use { caller ->
+                        caller.send(begin)
+                        val response = caller.getInputStream().readBytes().decodeToString()
+                        response shouldContainOnlyOnce "HTTP/1.1 408"
+                        response.lowercase() shouldContain "connection: close"
+                    }
+                    val event = gateway.events.next(EventCode.CALLER_TIMED_OUT)
+                    event?.get("reason")?.jsonPrimitive?.content shouldBe "request is incomplete"
+                }
+                it("is executed if its rest arrived while the event loop was held up: $part") {
+                    val headerMillis = 2000L
+                    val gateway = gateway(limits(headerMillis = headerMillis))
+                    connect(gateway).use { caller ->
+                        caller.exchange() shouldBe "HTTP/1.1 200 OK"
+                        caller.send(begin)
+                        Thread.sleep(READ_MILLIS)
+                        gateway.checkTimeouts {
+                            caller.send(rest.getValue(part))
+                            Thread.sleep(headerMillis + 1)
+                        }
+                        caller.readResponse() shouldBe "HTTP/1.1 200 OK"
+                    }
+                }
+            }
+        }
+        describe("a request under way while the size limits change") {
+            it("is judged by the limit of bodies under which its head arrived") {
+                val gateway = gateway(limits())
+                connect(gateway).use { caller ->
+                    caller.send(head("Content-Length: 5\r\nExpect: 100-continue\r\n"))
+                    caller.readHead() shouldContain "HTTP/1.1 100"
+                    gateway.setLimits(limits(bodyMaxBytes = 1))
+                    caller.exchange("hello") shouldBe "HTTP/1.1 200 OK"
+                }
+            }
+            // Guards against refusing on a kept connection what the configuration allows.
+            it("is judged by a limit of headers that was raised on its open connection") {
+                val gateway = gateway(limits(headerMaxBytes = LARGE_HEADER_BYTES / 2))
+                connect(gateway).use { caller ->
+                    caller.exchange() shouldBe "HTTP/1.1 200 OK"
+                    gateway.setLimits(limits())
+                    val header = "X-Large: ${"~".repeat(LARGE_HEADER_BYTES)}\r\n"
+                    caller.exchange(head("${header}Content-Length: 0\r\n"))
+                        .shouldBe("HTTP/1.1 200 OK")
+                }
             }
         }
         describe("an internal error in a connection") {
