Ignore further SIGTERMs in a planned stop

Callers whose requests came after a second SIGTERM saw their connection end without a response.

Cause: each SIGTERM began a stop of its own. The second one gave requests a later end, while the first one still ended the process at its own. Change: the first SIGTERM decides.

Evidence: PlannedWorkTest "promises no more time than the first one" failed before, with an empty response after 9.5 s in place of 504; it passes now.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlannedWorkTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlannedWorkTest.kt
@@ -40,6 +40,7 @@
 private const val LARGE_BYTES = 4_200_000
 private const val SMALL_RECEIVE_BUFFER_BYTES = 16 * 1024
 
+private const val STOP_GAP_MILLIS = 1500L
 private const val PAUSE_MILLIS = 1500L
 
 /**
@@ -304,6 +305,17 @@
                 }
             }
         }
+        describe("a second SIGTERM") {
+            it("promises no more time than the first one") {
+                with {
+                    process.signal("TERM")
+                    delay(STOP_GAP_MILLIS)
+                    process.signal("TERM")
+                    val socket = begin("/plain/x")
+                    blocking { socket.readAll() } shouldContain "HTTP/1.1 504"
+                }
+            }
+        }
         describe("SIGHUP") {
             mapOf(
                 "is broken" to { file: Path ->
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/node/PlatformDaemon.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/node/PlatformDaemon.kt
@@ -9,6 +9,7 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.system.exitProcess
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.put
@@ -44,7 +45,10 @@
         NodeRole.ENTRY -> GatewayEntry(settings, loop, log)
         NodeRole.AGENT -> EngineAgent(settings, loop, log)
     }
+    val isStopping = AtomicBoolean()
     Signal.handle(Signal("TERM")) {
+        // Requests have been promised the grace period of the first signal.
+        if (!isStopping.compareAndSet(false, true)) return@handle
         log.event(EventCode.STOPPING) { put("graceSeconds", settings.bounds.graceSeconds) }
         runBlocking { node.shutdown() }
         log.flush(FLUSH_MILLIS)
