Refuse late streams of a planned stop that may outlast it

Callers saw a stream that had begun late in a grace period end without its last event.

Cause: GracePeriod admitted a stream that usually ends in time. One that lasts longer is broken off at the end of the grace period, which a complete response with another status cannot replace once the stream has begun. Change: from 3 s after SIGTERM, when callers have been moved to other entries, a stream is admitted only if its deadline lies within the grace period. Earlier streams are admitted as before.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlannedWorkTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlannedWorkTest.kt
@@ -6,6 +6,7 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldNotContain
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -316,6 +317,20 @@
                 }
             }
         }
+        describe("a stream that comes late in a grace period") {
+            it("is refused and not cut off when it may last longer") {
+                with {
+                    val socket = begin("/plain/x")
+                    socket.send(request("/stream/x"))
+                    process.signal("TERM")
+                    awaitListenerClosed()
+                    endpoint.isReleased.countDown()
+                    endpoint.isReleased = CountDownLatch(1)
+                    blocking { socket.readAll() } shouldContain "HTTP/1.1 503"
+                    endpoint.paths.toList() shouldNotContain "/stream/x"
+                }
+            }
+        }
         describe("SIGHUP") {
             mapOf(
                 "is broken" to { file: Path ->
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/GracePeriodTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/GracePeriodTest.kt
@@ -21,5 +21,13 @@
                 grace.admits(route("/a/"), service(), 8300 - needed) shouldBe true
                 grace.admits(route("/a/"), service(), 8301 - needed) shouldBe false
             }
+            it("admits streams that begin after the handover only if they must end in time") {
+                val stream = route("/a/", kind = CallKind.STREAM)
+                grace.admits(stream, service(), 4000) shouldBe true
+                grace.admits(stream, service(), 4001) shouldBe false
+                grace.admits(stream, service(), 4001, remainingMillis = 4300) shouldBe false
+                grace.admits(stream, service(), 4001, remainingMillis = 4299) shouldBe true
+                grace.admits(route("/a/"), service(), 4001) shouldBe true
+            }
         }
     })
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -67,7 +67,7 @@
                 refuseUnadmitted(connection, metadata, admitted.refusal)
                 null
             }
-            is Admission.Admitted -> if (canFinish(admitted)) {
+            is Admission.Admitted -> if (canFinish(admitted, metadata)) {
                 start(connection, request, metadata, admitted)
             } else {
                 val refusal = Refusal(UNAVAILABLE, "entry is stopping", SHORT_RETRY_MILLIS)
@@ -77,8 +77,13 @@
         }
     }
 
-    private fun canFinish(admitted: Admission.Admitted): Boolean =
-        grace?.admits(admitted.route, admitted.service, monotonicMillis()) ?: true
+    private fun canFinish(admitted: Admission.Admitted, metadata: CallerRequestMetadata): Boolean =
+        grace?.admits(
+            admitted.route,
+            admitted.service,
+            monotonicMillis(),
+            metadata.remainingMillis
+        ) ?: true
 
     private fun start(
         connection: CallerConnection,
