Close the output of a connection before its input

A caller that sent its next request before it had read the response with `Connection: close` lost the rest of that response; a planned stop announces the close in each response.

Cause: the connection was closed as soon as the socket had accepted the response. A request that arrives later meets a closed socket, which resets the connection and drops what the caller has not received yet. Change: only the output is closed. The input is discarded until the caller closes the connection, for 2 s at most, and a planned stop waits for that.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlannedWorkTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlannedWorkTest.kt
@@ -39,6 +39,9 @@
 
 // Does not fit into the buffers of a connection whose caller does not read.
 private const val LARGE_BYTES = 4_200_000
+
+// Fits into them.
+private const val MEDIUM_BYTES = 1_000_000
 private const val SMALL_RECEIVE_BUFFER_BYTES = 16 * 1024
 
 private const val STOP_GAP_MILLIS = 1500L
@@ -81,6 +84,7 @@
         try {
             when {
                 path.startsWith("/large/") -> it.sendBody(head, LARGE_BYTES)
+                path.startsWith("/medium/") -> it.sendBody(head, MEDIUM_BYTES)
                 path.startsWith("/stream/") -> {
                     it.send(
                         "${head}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n" +
@@ -232,7 +236,7 @@
 
     companion object {
         const val HOSTS = 250
-        val DEFAULT_PATHS = listOf("/first/", "/large/", "/stream/", "/plain/")
+        val DEFAULT_PATHS = listOf("/first/", "/large/", "/medium/", "/stream/", "/plain/")
     }
 }
 
@@ -279,6 +283,19 @@
                     }
                 }
             }
+            it("does not reset a response because its caller has sent another request") {
+                with {
+                    process.signal("TERM")
+                    eventually(testTimeout) { log shouldContain "graceful shutdown began" }
+                    val socket = begin("/medium/x", SMALL_RECEIVE_BUFFER_BYTES)
+                    eventually(testTimeout) {
+                        log.lines().count { "request completed" in it && "/medium/" in it } shouldBe
+                            1
+                    }
+                    socket.send(request("/plain/late"))
+                    blocking { largeBodyLength(socket.readAll()) } shouldBe MEDIUM_BYTES
+                }
+            }
             it("lets a stream go on whose route is gone") {
                 with {
                     val socket = begin("/stream/x")
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -7,10 +7,10 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.nio.AbstractNioChannel
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -26,7 +26,9 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.ScheduledFuture
 import java.io.IOException
+import java.util.concurrent.TimeUnit
 import org.toucanspur.core.gateway.CallerActivity
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.daemon.monotonicMillis
@@ -77,13 +79,21 @@
     private var lastActiveMillis = monotonicMillis()
     private var deadlineMillis = 0L
     private var observedUnsentBytes = 0L
+    private var lingerTimer: ScheduledFuture<*>? = null
 
     /** Whether no request is being received or processed. */
     val isIdle: Boolean get() = head == null && !isResponding
 
-    /** Whether the connection is idle and all responses are written to the socket. */
+    /**
+     * Whether the connection is idle, all responses are written to the socket and the end of the
+     * last one is not being read.
+     */
     val isDrained: Boolean
-        get() = isIdle && !isReading && queuedMessages.isEmpty() && !hasPendingWrites
+        get() = isIdle &&
+            !isReading &&
+            queuedMessages.isEmpty() &&
+            !hasPendingWrites &&
+            lingerTimer == null
 
     /** Number of response bytes that the socket has not accepted yet. */
     val unsentBytes: Long
@@ -298,7 +308,7 @@
         lastActiveMillis = monotonicMillis()
         if (!isKeepAlive) {
             isInputDiscarded = true
-            future.addListener(ChannelFutureListener.CLOSE)
+            future.addListener { if (it.isSuccess) closeOutput() else context.close() }
             return
         }
         // Deferred, because the code that ends the response may still have cleanup to do.
@@ -307,6 +317,20 @@
         }
     }
 
+    // If more than the response's request has arrived, closing at once resets the connection, and
+    // the caller loses what it has not read yet.
+    private fun closeOutput() {
+        val channel = context.channel() as? DuplexChannel
+        if (channel == null) {
+            context.close()
+            return
+        }
+        channel.shutdownOutput()
+        channel.config().isAutoRead = true
+        lingerTimer =
+            context.executor().schedule(context::close, LINGER_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
     private fun readQueuedMessages() {
         while (!isResponding && queuedMessages.isNotEmpty()) onMessage(queuedMessages.removeFirst())
         if (queuedMessages.isEmpty()) context.channel().config().isAutoRead = true
@@ -316,6 +340,7 @@
         listener.onWritabilityChanged(this, ctx.channel().isWritable)
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
+        lingerTimer?.cancel(false)
         queuedMessages.forEach { ReferenceCountUtil.release(it) }
         queuedMessages.clear()
         bodyParts.forEach { it.release() }
@@ -331,6 +356,9 @@
 
     private companion object {
         const val QUEUED_MESSAGES_MAX = 16
+
+        // Long enough for a caller to read the end of a response and to close the connection.
+        const val LINGER_MILLIS = 2000L
         const val NO_CONTENT = 204
         const val NOT_MODIFIED = 304
     }
