Release a call when its response ends

A connection kept its last call, with what the call had buffered, until its next request or its end, and connections last longer now.

Change: the connection reports the end of its response, and the call is released then.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -47,6 +47,9 @@
     /** Called for each request; the response is written to [connection]. */
     fun onRequest(connection: CallerConnection, request: BufferedRequest)
 
+    /** Called when the response to the request of [connection] has been written. */
+    fun onResponseEnd(connection: CallerConnection)
+
     /** Called when [connection] is closed. */
     fun onDisconnect(connection: CallerConnection)
 
@@ -303,6 +306,7 @@
     private fun endResponse(future: ChannelFuture) {
         isResponding = false
         lastActiveMillis = monotonicMillis()
+        listener.onResponseEnd(this)
         if (!isKeepAlive) {
             isInputDiscarded = true
             releaseQueuedMessages()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -81,6 +81,11 @@
         if (!call.isFinished) calls[connection] = call
     }
 
+    // A connection may stay open for long, so it does not keep what the call has buffered.
+    override fun onResponseEnd(connection: CallerConnection) {
+        calls -= connection
+    }
+
     override fun onDisconnect(connection: CallerConnection) {
         connections -= connection
         calls.remove(connection)?.let(dispatcher::onDisconnect)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerConnectionTest.kt
@@ -15,6 +15,8 @@
 
     override fun onRequest(connection: CallerConnection, request: BufferedRequest) = Unit
 
+    override fun onResponseEnd(connection: CallerConnection) = Unit
+
     override fun onDisconnect(connection: CallerConnection) = Unit
 
     override fun onWritabilityChanged(connection: CallerConnection, isWritable: Boolean) = Unit
