Write an event before its silent attempt is dropped

Callers on a kept connection could see a 502 and after it the head and the events of a 200: when another endpoint responded to a stream whose first one was silent, dropping the silent attempt reported the memory of the call, which may end the call for want of memory, and then the event was written.

The event is written first, so that nothing follows the end of a call.

Evidence: SilentEndpointTest "gets one response" failed before (expected 1, was 2 status lines) and passes now.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -447,12 +447,13 @@
             return
         }
         if (batch == null) return
-        dropSilentAttempt()
         commit()
         attemptEvents++
         if (attemptEvents == PROGRESS_EVENTS) delegate.crashes.onProgress(this)
         batch.lastEventId?.let { lastEventId = it }
         connection.writeChunk(batch.bytes)
+        // May end the current attempt too, if memory is short.
+        dropSilentAttempt()
     }
 
     private fun bufferOrRelay(bytes: ByteArray) {
@@ -470,10 +471,10 @@
     }
 
     private fun relayBuffer() {
-        dropSilentAttempt()
         commit()
         connection.writeChunk(bufferedBody.toByteArray())
         bufferedBody = ByteArrayOutputStream(0)
+        dropSilentAttempt()
         reportBuffered()
     }
 
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/SilentEndpointTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/SilentEndpointTest.kt
@@ -10,6 +10,7 @@
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldStartWith
 import java.net.Socket
+import java.net.SocketTimeoutException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
@@ -33,6 +34,10 @@
 private const val EARLIER_LEFT = "Left: 20000\r\n"
 private const val EARLIER = "earlier"
 
+// Room for the buffer of a short event only.
+private const val SHORT_MEMORY_BYTES = 2000L
+private const val LONG_EVENT_BYTES = 1500
+
 private fun event(id: Int) = "id: $id\ndata: token$id\n\n"
 
 private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
@@ -41,6 +46,20 @@
 
 private fun CountDownLatch.awaitCall() = await(CALL_SECONDS.toLong(), TimeUnit.SECONDS)
 
+private fun Socket.readUntilSilent(): String {
+    val text = StringBuilder()
+    try {
+        while (true) {
+            val byte = getInputStream().read()
+            if (byte < 0) break
+            text.append(byte.toChar())
+        }
+    } catch (_: SocketTimeoutException) {
+        return text.toString()
+    }
+    return text.toString()
+}
+
 private fun String.shouldBeCompleteWith(events: Int) {
     (1..events).forEach { split("data: token$it\n").size shouldBe 2 }
     this shouldNotContain "token${events + 1}"
@@ -296,4 +315,46 @@
                 response shouldNotContain "half"
             }
         }
+        // Guards against writing to a caller whose call ended when the silent attempt was dropped.
+        describe("a stream whose other endpoint responds when memory is short") {
+            it("gets one response") {
+                val toClose = CountDownLatch(1)
+                val isFirst = AtomicBoolean(true)
+                val endpoints = List(2) {
+                    endpoint { request, socket ->
+                        when {
+                            request.body == EARLIER ->
+                                socket.respondWithEvents(request, listOf(event(1)), true)
+                            isFirst.getAndSet(false) -> {
+                                socket.send(CHUNKED_HEAD + chunk("id: 1\nda"))
+                                toClose.awaitCall()
+                            }
+                            else -> {
+                                socket.send(CHUNKED_HEAD)
+                                Thread.sleep(TARGET_MILLIS)
+                                val data = "~".repeat(LONG_EVENT_BYTES)
+                                socket.send(chunk("id: 1\ndata: $data\n\n"))
+                                toClose.awaitCall()
+                            }
+                        }
+                    }
+                }
+                val gateway = TestGateway(
+                    endpoints.map { it.port },
+                    targetMillis = TARGET_MILLIS,
+                    responseMemoryBytes = SHORT_MEMORY_BYTES
+                )
+                gateway.call("/stream/", extraHeaders = EARLIER_LEFT, body = EARLIER)
+                val response = Socket("127.0.0.1", gateway.port).use { caller ->
+                    caller.soTimeout = SILENT_MILLIS.toInt()
+                    caller.send(
+                        "POST /stream/ HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\n" +
+                            "${LEFT}Content-Length: 0\r\n\r\n"
+                    )
+                    caller.readUntilSilent()
+                }
+                toClose.countDown()
+                response.split("HTTP/1.1 ").size - 1 shouldBe 1
+            }
+        }
     })
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -40,6 +40,7 @@
 
 /** Bound of a target version at a [TestGateway]. */
 const val VERSION_BOUND_MILLIS = 8000
+private const val RESPONSE_MEMORY_BYTES = 20L * 1024 * 1024
 private val service = ServiceId("s")
 private val engineService = ServiceId("engine")
 private val model = ModelId("m")
@@ -126,7 +127,8 @@
     queueMax: Int = 256,
     codec: RequestCodec = TestRequestCodec,
     endpointsMax: Int = 2,
-    limits: CallerLimits = CallerLimits(16_384, bodyMaxBytes, 3000, 15_000)
+    limits: CallerLimits = CallerLimits(16_384, bodyMaxBytes, 3000, 15_000),
+    responseMemoryBytes: Long = RESPONSE_MEMORY_BYTES
 ) {
     /** Names of the tasks that failed. */
     val failedTasks = CopyOnWriteArrayList<String>()
@@ -167,7 +169,15 @@
         }
         val metrics = GatewayMetrics(registry)
         val dispatcher =
-            CallDispatcher(loop, state, codec, events.log, metrics, queueMax)
+            CallDispatcher(
+                loop,
+                state,
+                codec,
+                events.log,
+                metrics,
+                queueMax,
+                responseMemoryBytes
+            )
         server = GatewayServer(
             loop,
             state,
