Do not count discarded input as progress of a connection

A caller that did not read its last response but kept sending held its connection for good: input that is discarded renewed the idle time-out.

Evidence: CallerTimeoutTest "does not keep the connection open because its caller still sends" failed before (still open after 80 requests, 8.5 s) and passes now (closed after 3.6 s).

In the run with the fix, "keeps the connection open only until its deadline and the idle time-out" failed once: the counter was 0 right after its event.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -150,11 +150,11 @@
     }
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
-        lastActiveMillis = monotonicMillis()
         if (isInputDiscarded) {
             ReferenceCountUtil.release(message)
             return
         }
+        lastActiveMillis = monotonicMillis()
         if (message is HttpRequest) arrivedBodyMaxBytes.addLast(listener.bodyMaxBytes)
         when {
             isResponding || queuedMessages.isNotEmpty() -> {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
@@ -8,6 +8,8 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldContainOnlyOnce
+import io.kotest.matchers.types.shouldBeInstanceOf
+import java.io.IOException
 import java.net.Socket
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
@@ -22,6 +24,8 @@
 
 // Lets the gateway read what was sent.
 private const val READ_MILLIS = 100L
+// Sent for longer than a response may remain unread.
+private const val SENT_REQUESTS = 80
 private const val BODY_BYTES = 120_000
 private const val HEADER_BYTES = 16_384
 private const val LARGE_HEADER_BYTES = 5000
@@ -105,6 +109,22 @@
                 gateway.count("toucanspur.callers.timed.out") shouldBe 1
                 gateway.count("toucanspur.callers.cut") shouldBe 1
             }
+            // Guards against keeping a connection for input that is discarded.
+            it("does not keep the connection open because its caller still sends") {
+                val gateway = gateway(limits(idleMillis = 1000), "~".repeat(BODY_BYTES))
+                connect(gateway).use { caller ->
+                    val left = "Left: 2000\r\nContent-Length: 0\r\n"
+                    caller.fill(gateway, head(left))
+                    caller.send(head("Connection: close\r\n$left"))
+                    val isClosed = runCatching {
+                        repeat(SENT_REQUESTS) {
+                            caller.send(head())
+                            Thread.sleep(READ_MILLIS)
+                        }
+                    }
+                    isClosed.exceptionOrNull().shouldBeInstanceOf<IOException>()
+                }
+            }
         }
         describe("a connection that is idle") {
             // Guards against closing it while its caller may still use it.
