Count a connection that timed out before its event is logged

CallerTimeoutTest "keeps the connection open only until its deadline and the idle time-out" failed once of two runs (expected 1, was 0): it reads the counter as soon as it has E517, which was logged first. Adds the case of a short idle time-out that nothing supersedes, which the case of a change does not cover alone.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -171,7 +171,7 @@
     /** Whether the endpoint of the attempt has begun a stream without crashing at its begin. */
     val hasProgressed: Boolean get() = attemptEvents >= PROGRESS_EVENTS
 
-    /** Moves the deadline to [millis] if it is later. */
+    /** Moves the deadline forward to [millis] if it is later than that. */
     fun limitDeadline(millis: Long) {
         deadlineMillis = minOf(deadlineMillis, millis)
     }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -116,13 +116,13 @@
 
     private fun report(timeout: CallerTimeout, activity: CallerActivity, nowMillis: Long) {
         val isCut = timeout == CallerTimeout.UNREAD_RESPONSE
+        metrics.onTimedOut(timeout.reason, isCut)
         log.event(EventCode.CALLER_TIMED_OUT, isEssential = isCut) {
             put("reason", timeout.reason)
             put("inactiveMillis", nowMillis - activity.lastProgressMillis)
             put("unsentBytes", activity.unsentBytes)
             put("configuration", state.configuration?.version ?: 0)
         }
-        metrics.onTimedOut(timeout.reason, isCut)
     }
 
     override fun onInternalError(connection: CallerConnection, cause: Throwable) {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CallerTimeoutTest.kt
@@ -24,6 +24,7 @@
 
 // Lets the gateway read what was sent.
 private const val READ_MILLIS = 100L
+
 // Sent for longer than a response may remain unread.
 private const val SENT_REQUESTS = 80
 private const val BODY_BYTES = 120_000
@@ -99,6 +100,17 @@
                 }
                 gateway.count("toucanspur.callers.cut") shouldBe 0
             }
+            // Guards against taking the time in which a caller does not read for idle time.
+            it("is complete although the idle time-out is shorter than its caller waits") {
+                val short = limits(idleMillis = SHORT_MILLIS)
+                val gateway = gateway(short, "~".repeat(BODY_BYTES))
+                connect(gateway).use { caller ->
+                    val requests = caller.fill(gateway)
+                    Thread.sleep(CHECKED_MILLIS)
+                    repeat(requests) { caller.readResponse() shouldBe "HTTP/1.1 200 OK" }
+                }
+                gateway.count("toucanspur.callers.cut") shouldBe 0
+            }
             it("keeps the connection open only until its deadline and the idle time-out") {
                 val gateway = gateway(limits(idleMillis = 2000), "~".repeat(BODY_BYTES))
                 connect(gateway).use { caller ->
