--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -10,7 +10,7 @@
     STOPPED(102, "graceful shutdown ended"),
     RELOADED(103, "settings reloaded"),
     PROCESS_PAUSED(104, "process was paused or its clock stepped"),
-    TASK_FAILED(105, "task failed and is run again"),
+    TASK_FAILED(105, "task failed"),
     DOCUMENT_ADOPTED(200, "document revision adopted"),
     DOCUMENT_REJECTED(201, "stored document is invalid and was ignored"),
     OBJECT_API_UNAVAILABLE(202, "object API call failed"),
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -89,10 +89,10 @@
 
     /** Whether the connection is idle and all responses are written to the socket. */
     val isDrained: Boolean
-        get() = isIdle && !isReading && !isServing && !hasPendingWrites
+        get() = isIdle && !isReading && !isResponseDue && !hasPendingWrites
 
-    // Whether a request or the end of the connection is due from this side.
-    private val isServing: Boolean
+    // Whether a request is processed or waits, or the last response is on its way to the caller.
+    private val isResponseDue: Boolean
         get() = isResponding || queuedMessages.isNotEmpty() || lingerTimer != null
 
     /** Number of response bytes that the socket has not accepted yet. */
@@ -122,14 +122,14 @@
         deadlineMillis = maxOf(deadlineMillis, millis)
     }
 
-    /** Returns what is under way; bytes that were sent since the last call are progress. */
-    fun observe(): CallerActivity {
+    /** Returns what is under way. Bytes sent since the last call count as progress made now. */
+    fun sampleActivity(): CallerActivity {
         val unsent = unsentBytes
         if (unsent < observedUnsentBytes) lastActiveMillis = monotonicMillis()
         observedUnsentBytes = unsent
         return CallerActivity(
             isReceiving = isReading,
-            isServing = isServing,
+            isServing = isResponseDue,
             unsentBytes = unsent,
             lastProgressMillis = lastActiveMillis,
             deadlineMillis = deadlineMillis
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -103,10 +103,10 @@
     }
 
     private fun expired(connection: CallerConnection): CallerTimeout? =
-        state.callerTimeouts.expired(connection.observe(), monotonicMillis())
+        state.callerTimeouts.expired(connection.sampleActivity(), monotonicMillis())
 
     private fun close(connection: CallerConnection, timeout: CallerTimeout) {
-        report(timeout, connection.observe(), monotonicMillis())
+        report(timeout, connection.sampleActivity(), monotonicMillis())
         if (timeout == CallerTimeout.INCOMPLETE_REQUEST) {
             connection.refuseIncomplete()
         } else {
