Log how old an adopted configuration may be, and which removed endpoints are kept

The log did not say how old a version may be when it is adopted, and it listed an endpoint as removed that the entry went on using. E210 now has unseenMillis, the time since the configuration was last known to be current, and E221 has isKept. No decision changes.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -50,10 +50,10 @@
     private val onStoreAvailableAgain: (outageMillis: Long) -> Unit
 ) : LoggingWatchListener(ObjectKind.CONFIGURATION, log) {
     override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) =
-        objects.forEach(::adopt)
+        objects.forEach { adopt(it, unseenSince) }
 
     override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) =
-        changes.filterNot { it.isRemoved }.forEach { adopt(it.stored) }
+        changes.filterNot { it.isRemoved }.forEach { adopt(it.stored, unseenSince) }
 
     override fun onUpToDate(at: ClockReading) = state.freshness.renew(at)
 
@@ -62,7 +62,7 @@
         onStoreAvailableAgain(outageMillis)
     }
 
-    private fun adopt(stored: StoredObject) {
+    private fun adopt(stored: StoredObject, unseenSince: ClockReading) {
         val startMillis = monotonicMillis()
         decodeConfiguration(stored.text.orEmpty()).fold(
             success = { changed ->
@@ -71,6 +71,7 @@
                 log.event(EventCode.CONFIGURATION_ADOPTED) {
                     put("version", changed.version)
                     put("revision", stored.revision)
+                    put("unseenMillis", systemClocks.now().ageMillis(unseenSince))
                     put("routes", changed.routes.size)
                     put("headerTimeoutMillis", changed.limits.headerTimeoutMillis)
                     put("idleTimeoutMillis", changed.limits.idleTimeoutMillis)
@@ -116,8 +117,12 @@
     }
 
     private fun drop(name: String) {
-        state.fleet.remove(EndpointId(name), monotonicMillis())
-        log.event(EventCode.ENDPOINT_REMOVED) { put("endpoint", name) }
+        val id = EndpointId(name)
+        state.fleet.remove(id, monotonicMillis())
+        log.event(EventCode.ENDPOINT_REMOVED) {
+            put("endpoint", name)
+            put("isKept", state.fleet.find(id) != null)
+        }
     }
 
     private fun upsert(stored: StoredObject) {
