List a configuration that changes quickly instead of fetching each version

Cause: while versions follow each other every 60 to 90 ms, each process of a region fetches each version in full, also those that are out of date when they arrive. Nine processes in rennes-a received 2.1 to 2.8 MB/s over the link of their region until it was full. Responses were then late by up to 2 s, and in the end timed out. Decoding is not the cause: it took 0 or 1 ms, and the entries used 2 to 11% of their processor.

Change: a watch whose object changes again within the burst delay lists it at that interval until it is unchanged. A listing holds only the newest version, so that the bytes depend on the interval and no longer on the number of versions. After a failure the watch lists as well, as it would get all versions since.

--- a/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
@@ -15,8 +15,15 @@
 /** Update or removal of one object. */
 class ObjectChange(val stored: StoredObject, val isRemoved: Boolean)
 
-/** Changes up to [storeRevision]; empty when the wait timed out. */
-class ObjectChanges(val changes: List<ObjectChange>, val storeRevision: Long)
+/**
+ * The newest change of each object up to [storeRevision]; empty when the wait timed out.
+ * [supersededCount] older changes are left out.
+ */
+class ObjectChanges(
+    val changes: List<ObjectChange>,
+    val storeRevision: Long,
+    val supersededCount: Int = 0
+)
 
 /** Reason why a call to the store failed. */
 sealed interface FeedFailure {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -38,6 +38,7 @@
 import org.toucanspur.daemon.gateway.ObjectWatcher
 import org.toucanspur.daemon.gateway.PauseMonitor
 import org.toucanspur.daemon.gateway.ProbeServer
+import org.toucanspur.daemon.gateway.WatchPacing
 import org.toucanspur.daemon.gateway.WeightVersionListener
 import org.toucanspur.daemon.gateway.systemClocks
 import org.toucanspur.daemon.log.DecisionLog
@@ -123,7 +124,11 @@
         }
         ProbeServer(loop, mapOf("/metrics" to registry::scrape))
             .start(InetSocketAddress(settings.node.host, settings.addresses.peerPort + 1))
-        followKind(ObjectKind.CONFIGURATION, ConfigurationReader())
+        followKind(
+            ObjectKind.CONFIGURATION,
+            ConfigurationReader(),
+            WatchPacing(CONFIGURATION_BATCH_MILLIS, CONFIGURATION_BURST_MILLIS)
+        )
         followKind(
             ObjectKind.WEIGHT_VERSIONS,
             WeightVersionListener(
@@ -139,9 +144,11 @@
         loop.supervise("staging") { stageLoop() }
     }
 
-    private fun followKind(kind: ObjectKind, sink: ObjectWatchListener) = loop.supervise(
-        "watch $kind"
-    ) {
+    private fun followKind(
+        kind: ObjectKind,
+        sink: ObjectWatchListener,
+        pacing: WatchPacing = WatchPacing()
+    ) = loop.supervise("watch $kind") {
         ObjectWatcher(
             store,
             kind,
@@ -149,7 +156,8 @@
             systemClocks,
             random,
             sink,
-            progress = WatchProgress(pauses)
+            pacing,
+            WatchProgress(pauses)
         ).run()
     }
 
@@ -458,6 +466,11 @@
         const val FIRST_VERSION = 1L
         const val NO_LOAD = -1L
         const val WATCH_WAIT_MILLIS = 10_000L
+        const val CONFIGURATION_BATCH_MILLIS = 250L
+
+        // Agents use what rarely changes: the model of their service, the kinds of its routes and
+        // the origin of the weights.
+        const val CONFIGURATION_BURST_MILLIS = 5000L
 
         // Short, because all entries wait for the report that a load has ended.
         const val LOADING_REPORT_MILLIS = 50L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -71,7 +71,15 @@
     override fun start() {
         pauses.start(loop)
         val configuration = ConfigurationListener(state, log, ::onStoreAvailable)
-        startWatch(ObjectKind.CONFIGURATION, CONFIGURATION_WATCH_MILLIS, configuration)
+        startWatch(
+            ObjectKind.CONFIGURATION,
+            CONFIGURATION_WATCH_MILLIS,
+            configuration,
+            WatchPacing(
+                BATCH_DELAY_MILLIS,
+                settings.bounds.configurationMillis.toLong() / CONFIGURATION_LISTINGS
+            )
+        )
         startLongPollWatches()
         server.start(socketAddress(settings.addresses.callers))
         ProbeServer(loop, emptyMap(), codec.readinessPath, ::isReady)
@@ -105,7 +113,7 @@
         kind: ObjectKind,
         waitMillis: Long,
         listener: ObjectWatchListener,
-        batchDelayMillis: Long = 0,
+        pacing: WatchPacing = WatchPacing(),
         progress: WatchProgress = WatchProgress()
     ): Job = loop.supervise("watch $kind", { watchHealth.onFailed(kind) }) {
         ObjectWatcher(
@@ -115,7 +123,7 @@
             systemClocks,
             random,
             watchHealth.observe(kind, listener),
-            batchDelayMillis,
+            pacing,
             progress
         ).run()
     }
@@ -125,7 +133,8 @@
             loadSubscriber.sendQueries()
             dispatcher.onLoadChanged()
         }
-        watches += startWatch(ObjectKind.ENDPOINTS, WATCH_MILLIS, endpoints, BATCH_DELAY_MILLIS)
+        val pacing = WatchPacing(BATCH_DELAY_MILLIS)
+        watches += startWatch(ObjectKind.ENDPOINTS, WATCH_MILLIS, endpoints, pacing)
         watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, EvacuationListener(state, log))
         watches += startWatch(
             ObjectKind.WEIGHT_VERSIONS,
@@ -184,6 +193,10 @@
         // Renews the freshness of the configuration once a second.
         const val CONFIGURATION_WATCH_MILLIS = 1000L
 
+        // Listings in the time that a change of the configuration may take, while changes follow
+        // each other quickly. The rest is for the transfer of a listing.
+        const val CONFIGURATION_LISTINGS = 4
+
         // TCP keepalive detects a dead connection before this wait ends.
         const val WATCH_MILLIS = 10_000L
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -5,6 +5,9 @@
  *
  * The store may cut off a watch that waits, which is no outage. The first call after a failure
  * therefore does not wait, and shows whether the store responds.
+ *
+ * A watch returns each change with the whole object. While a large object changes more often than
+ * its pacing allows, the objects are listed instead, which returns only the newest version.
  */
 package org.toucanspur.daemon.gateway
 
@@ -17,6 +20,7 @@
 import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.FeedFailure
 import org.toucanspur.core.platform.ObjectChange
+import org.toucanspur.core.platform.ObjectChanges
 import org.toucanspur.core.platform.ObjectFeed
 import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.core.platform.StoredObject
@@ -43,9 +47,15 @@
 }
 
 /**
- * Watches objects of [kind]; each watch call waits for up to [waitMillis]. After changes the next
- * call is delayed by [batchDelayMillis], so that a burst of changes needs few calls. A watch that
- * replaces another one continues its [progress].
+ * Delays of a watch after changes: [batchDelayMillis] before the next call, so that a burst of
+ * changes needs few calls. If there are new changes by then, the objects are listed every
+ * [burstDelayMillis] until they stop changing, or never if that is null.
+ */
+class WatchPacing(val batchDelayMillis: Long = 0, val burstDelayMillis: Long? = null)
+
+/**
+ * Watches objects of [kind]; each watch call waits for up to [waitMillis], with [pacing] after
+ * changes. A watch that replaces another one continues its [progress].
  */
 class ObjectWatcher(
     private val feed: ObjectFeed,
@@ -54,12 +64,16 @@
     private val clocks: ClockPair,
     private val random: Random,
     private val listener: ObjectWatchListener,
-    private val batchDelayMillis: Long = 0,
+    private val pacing: WatchPacing = WatchPacing(),
     private val progress: WatchProgress = WatchProgress()
 ) {
     private var revision: Long? = null
     private var backoffMillis = BACKOFF_MIN_MILLIS
     private var outageStartMillis: Long? = null
+    private var newestObjectRevision = 0L
+    private var changedMillis: Long? = null
+    private var isBurst = false
+    private var pauseMillis = 0L
 
     /** Lists and watches until cancelled. */
     suspend fun run() {
@@ -67,17 +81,19 @@
             val afterRevision = revision
             val start = clocks.now()
             val callWaitMillis = callWaitMillis()
-            val failure = if (afterRevision == null) {
+            pauseMillis = 0
+            val failure = if (afterRevision == null || isBurst) {
                 list()
             } else {
                 watch(afterRevision, callWaitMillis)
             }
             if (failure == null) onSuccess() else onFailure(failure, start, callWaitMillis)
+            delay(pauseMillis)
         }
     }
 
     private fun callWaitMillis(): Long = when {
-        revision == null -> 0
+        revision == null || isBurst -> 0
         outageStartMillis == null -> waitMillis
         else -> CHECK_WAIT_MILLIS
     }
@@ -87,10 +103,21 @@
         val listing = feed.list(kind).getOrElse { return it }
         listener.onListing(listing.objects, progress.unlistedSince(at))
         revision = listing.storeRevision
+        val isChanged = hasNewer(listing.objects)
+        isBurst = isBurst && isChanged
+        if (isBurst) pauseMillis = pacing.burstDelayMillis ?: 0
         onUpToDate(at)
         return null
     }
 
+    // Whether one of [objects] is newer than all before.
+    private fun hasNewer(objects: List<StoredObject>): Boolean {
+        val newest = objects.maxOfOrNull { it.revision } ?: 0
+        val isNewer = newest > newestObjectRevision
+        newestObjectRevision = maxOf(newestObjectRevision, newest)
+        return isNewer
+    }
+
     private suspend fun watch(afterRevision: Long, waitMillis: Long): FeedFailure? {
         val at = clocks.now()
         // Limits the whole call by this VM's own clock too, which may have been paused.
@@ -98,16 +125,29 @@
             feed.watch(kind, afterRevision, waitMillis)
         } ?: return FeedFailure.Unavailable("watch timed out")
         val changes = result.getOrElse { return it }
-        val hasChanges = changes.changes.isNotEmpty()
-        if (hasChanges) {
-            listener.onChanges(changes.changes, progress.unseenSince(at, clocks.now()))
-        }
         revision = maxOf(afterRevision, changes.storeRevision)
-        onUpToDate(if (hasChanges) at else confirmedAt(at, waitMillis))
-        if (hasChanges) delay(batchDelayMillis)
+        if (changes.changes.isEmpty()) {
+            onUpToDate(confirmedAt(at, waitMillis))
+        } else {
+            val now = clocks.now()
+            listener.onChanges(changes.changes, progress.unseenSince(at, now))
+            onUpToDate(at)
+            pace(changes, now.monotonicMillis)
+        }
         return null
     }
 
+    private fun pace(changes: ObjectChanges, nowMillis: Long) {
+        hasNewer(changes.changes.map { it.stored })
+        val burstDelayMillis = pacing.burstDelayMillis
+        if (burstDelayMillis != null) {
+            val sinceChangeMillis = changedMillis?.let { nowMillis - it } ?: Long.MAX_VALUE
+            isBurst = changes.supersededCount > 0 || sinceChangeMillis < burstDelayMillis
+        }
+        changedMillis = nowMillis
+        pauseMillis = if (isBurst) burstDelayMillis ?: 0 else pacing.batchDelayMillis
+    }
+
     private fun onUpToDate(at: ClockReading) {
         progress.onUpToDate(at)
         listener.onUpToDate(at)
@@ -134,6 +174,8 @@
         }
         val now = clocks.now()
         progress.onFailure(start, now)
+        // A watch would return all that has changed meanwhile.
+        isBurst = pacing.burstDelayMillis != null
         if (outageStartMillis == null) {
             // A call that ended late was not cut off: the store may have been silent all the time.
             val dueMillis = start.monotonicMillis + callWaitMillis + RESPONSE_MAX_MILLIS
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -54,6 +54,70 @@
     }
 }
 
+/** A store with one object that has a new version every [periodMillis] until [untilMillis]. */
+private class ChangingFeed(
+    private val periodMillis: Long,
+    private val untilMillis: Long,
+    private val nowMillis: () -> Long
+) : ObjectFeed {
+    private val version get() = minOf(nowMillis(), untilMillis) / periodMillis
+
+    /** Versions that all responses together contained. */
+    var returnedVersions = 0L
+        private set
+    var watches = 0
+        private set
+    var lists = 0
+        private set
+
+    override suspend fun list(
+        kind: ObjectKind,
+        isStaleAllowed: Boolean
+    ): Result<ObjectListing, FeedFailure> {
+        lists++
+        returnedVersions++
+        return Ok(ObjectListing(listOf(StoredObject("main", version, "{}")), version))
+    }
+
+    override suspend fun watch(
+        kind: ObjectKind,
+        afterRevision: Long,
+        waitMillis: Long
+    ): Result<ObjectChanges, FeedFailure> {
+        watches++
+        val endMillis = nowMillis() + waitMillis
+        while (version <= afterRevision && nowMillis() < endMillis) delay(1)
+        val newer = version - afterRevision
+        returnedVersions += newer
+        val newest = ObjectChange(StoredObject("main", version, "{}"), isRemoved = false)
+        val changes = if (newer > 0) listOf(newest) else emptyList()
+        return Ok(ObjectChanges(changes, version, maxOf(0, newer - 1).toInt()))
+    }
+}
+
+/** Ages of the versions of a [ChangingFeed] when the next one arrives. */
+private class AgeListener(private val periodMillis: Long, private val nowMillis: () -> Long) :
+    ObjectWatchListener {
+    var newestVersion = -1L
+        private set
+    var maxAgeMillis = 0L
+        private set
+
+    override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) =
+        objects.forEach(::onVersion)
+
+    override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) =
+        changes.forEach { onVersion(it.stored) }
+
+    private fun onVersion(stored: StoredObject) {
+        if (stored.revision == newestVersion) return
+        // The version that replaced the known one was set then.
+        val replacedMillis = (newestVersion + 1) * periodMillis
+        maxAgeMillis = maxOf(maxAgeMillis, nowMillis() - replacedMillis)
+        newestVersion = stored.revision
+    }
+}
+
 private class RecordingListener : ObjectWatchListener {
     val callbacks = mutableListOf<String>()
     var upToDateAtMillis = -1L
@@ -216,6 +280,55 @@
                         .changedSinceMillis shouldBe 1600
                 }
             }
+            // Guards against fetching each version in full: the versions filled the link of a
+            // region, and the entries there were seconds behind.
+            it("lists an object that changes quickly, and watches again when it has settled") {
+                runTest {
+                    val nowMillis = { testScheduler.currentTime }
+                    val feed = ChangingFeed(periodMillis = 90, untilMillis = 20_000, nowMillis)
+                    val listener = AgeListener(90, nowMillis)
+                    val watcher = ObjectWatcher(
+                        feed,
+                        ObjectKind.CONFIGURATION,
+                        WAIT_MILLIS,
+                        { ClockReading(nowMillis(), nowMillis()) },
+                        Random(1),
+                        listener,
+                        WatchPacing(batchDelayMillis = 250, burstDelayMillis = 500)
+                    )
+                    val job = backgroundScope.launch { watcher.run() }
+                    advanceTimeBy(20_000)
+                    feed.returnedVersions shouldBeLessThan 20_000L / 500 + 5
+                    listener.maxAgeMillis shouldBeLessThan 600
+                    advanceTimeBy(1000)
+                    listener.newestVersion shouldBe 20_000 / 90
+                    val lists = feed.lists
+                    advanceTimeBy(5000)
+                    feed.lists shouldBe lists
+                    job.cancel()
+                }
+            }
+            it("watches an object that changes now and then") {
+                runTest {
+                    val nowMillis = { testScheduler.currentTime }
+                    val feed = ChangingFeed(periodMillis = 3000, untilMillis = 20_000, nowMillis)
+                    val listener = AgeListener(3000, nowMillis)
+                    val watcher = ObjectWatcher(
+                        feed,
+                        ObjectKind.CONFIGURATION,
+                        WAIT_MILLIS,
+                        { ClockReading(nowMillis(), nowMillis()) },
+                        Random(1),
+                        listener,
+                        WatchPacing(batchDelayMillis = 250, burstDelayMillis = 500)
+                    )
+                    val job = backgroundScope.launch { watcher.run() }
+                    advanceTimeBy(20_000)
+                    feed.lists shouldBe 1
+                    listener.maxAgeMillis shouldBeLessThan 5
+                    job.cancel()
+                }
+            }
             it("times out when the store does not respond") {
                 runTest {
                     val unresponsive: suspend () -> Result<ObjectChanges, FeedFailure> =
