Keep removed endpoints after an outage only until the drain bound may apply

Cause: records of running endpoints expire while the store is down, so that after an outage an entry keeps endpoints without a record for the 2 s in which they may come back. The 2 s counted from the response that showed the entry that the store is back. That response may come seconds after the end of the outage, and the outage may be that of the entry alone: then no record has expired, and the endpoints have left.

Change: an outage states until when the store is known to have been unreachable; a call without a response proves that only for its start. A second outage does not prolong that for an endpoint that is kept already.

FleetTest "is not kept longer than the store may be back for, if its return was seen late" and "is kept for the grace period of its first outage only" fail with the earlier rule.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
@@ -131,7 +131,7 @@
         StoreSection(store.address, 1200),
         EngineSection("none", ServiceId("none")),
         LimitsSection(430, 4200, 1000.0),
-        BoundsSection(2000, graceSeconds, 60_000, 5000, 2000, 8000, 0.2, 10, 100, 5, 120)
+        BoundsSection(2000, graceSeconds, 60_000, 5000, 2000, 3000, 8000, 0.2, 10, 100, 5, 120)
     )
 
     fun putConfiguration(version: Int, service: String, keys: String = "\"k\"") = store.put(
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -328,15 +328,15 @@
 
 /** All endpoints by id. */
 class Fleet(
-    private val unlistedGraceMillis: Long = UNLISTED_GRACE_MILLIS,
+    private val stabilityMillis: Long = STABILITY_MILLIS,
     private val random: Random = Random.Default
 ) {
     private val endpoints = LinkedHashMap<EndpointId, FleetEndpoint>()
     private val byService = HashMap<ServiceId, MutableList<FleetEndpoint>>()
     private val byHost = HashMap<String, MutableList<FleetEndpoint>>()
-    private val unlistedSince = HashMap<EndpointId, Long>()
+    private val unlistedUntilMillis = HashMap<EndpointId, Long>()
     private val dropped = HashMap<EndpointId, DroppedEndpoint>()
-    private var storeRecoveredMillis = -1L
+    private var keepsUnlistedUntilMillis = Long.MIN_VALUE
 
     /** Endpoints of [service], including those that are draining. */
     fun of(service: ServiceId): List<FleetEndpoint> = byService[service].orEmpty()
@@ -360,16 +360,22 @@
     fun all(): Collection<FleetEndpoint> = endpoints.values
 
     /**
-     * Records that the store is available again after [outageMillis]. A shorter outage than the
-     * expiry of an endpoint record removes none, so that it does not keep any endpoint in use.
+     * Records that the store is available again after [outage]. A shorter outage than the expiry of
+     * an endpoint record removes none, so that it does not keep any endpoint in use. A longer one
+     * may have been an outage of this entry only, in which endpoints have left. The bound on their
+     * requests applies again once the store has been available for the stability time.
      */
-    fun onStoreRecovered(outageMillis: Long, nowMillis: Long) {
-        if (outageMillis > RECORD_EXPIRY_MILLIS) storeRecoveredMillis = nowMillis
+    fun onStoreRecovered(outage: StoreOutage) {
+        if (outage.lengthMillis <= RECORD_EXPIRY_MILLIS) return
+        keepsUnlistedUntilMillis = minOf(
+            outage.endMillis + UNLISTED_GRACE_MILLIS,
+            outage.knownUntilMillis + stabilityMillis - TRANSIT_MILLIS
+        )
     }
 
     /** Adds or updates a listed endpoint. */
     fun put(record: EndpointRecord, nowMillis: Long) {
-        unlistedSince.remove(record.id)
+        unlistedUntilMillis.remove(record.id)
         val known = endpoints[record.id]
         if (known != null && known.record.service == record.service) {
             val previousHost = known.record.host
@@ -418,9 +424,8 @@
      */
     fun remove(id: EndpointId, nowMillis: Long) {
         if (id !in endpoints) return
-        val isAfterOutage =
-            storeRecoveredMillis >= 0 && nowMillis - storeRecoveredMillis < unlistedGraceMillis
-        if (isAfterOutage) unlistedSince[id] = nowMillis else drop(id, nowMillis)
+        val untilMillis = unlistedUntilMillis.getOrPut(id) { keepsUnlistedUntilMillis }
+        if (nowMillis >= untilMillis) drop(id, nowMillis)
     }
 
     /** Applies a complete listing and removes the endpoints that are not in it. */
@@ -432,15 +437,13 @@
 
     /** Removes and returns the endpoints that were not listed again within the grace period. */
     fun expire(nowMillis: Long): List<EndpointId> {
-        val due = storeRecoveredMillis + unlistedGraceMillis
-        if (unlistedSince.isEmpty() || nowMillis < due) return emptyList()
-        val gone = unlistedSince.keys.toList()
+        val gone = unlistedUntilMillis.filterValues { nowMillis >= it }.keys.toList()
         gone.forEach { drop(it, nowMillis) }
-        unlistedSince.clear()
         return gone
     }
 
     private fun drop(id: EndpointId, nowMillis: Long) {
+        unlistedUntilMillis.remove(id)
         val endpoint = endpoints.remove(id) ?: return
         dropped[id] = DroppedEndpoint(endpoint, nowMillis)
         byService[endpoint.record.service]?.remove(endpoint)
@@ -459,5 +462,9 @@
 
         // Listings that expired during a store outage are renewed within about two seconds.
         const val UNLISTED_GRACE_MILLIS = 2000L
+
+        // Time that a request takes to reach an endpoint.
+        const val TRANSIT_MILLIS = 300L
+        const val STABILITY_MILLIS = 3000L
     }
 }
--- a/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
@@ -11,7 +11,8 @@
  * for calls that may safely be sent twice, as happens when the server has closed the reused
  * connection. [isStillValid] is for calls that depend on an earlier check: it is evaluated
  * immediately before the request is written, and nothing is sent once it is false. A response with
- * a body of more than [responseMaxBytes] is a failure.
+ * a body of more than [responseMaxBytes] is a failure, as is a connection that is not established in
+ * [connectTimeoutMillis].
  */
 class HttpCall(
     val address: String,
@@ -22,11 +23,15 @@
     val contentType: String? = null,
     val mayReuseConnection: Boolean = false,
     val isStillValid: () -> Boolean = { true },
-    val responseMaxBytes: Int = RESPONSE_MAX_BYTES
+    val responseMaxBytes: Int = RESPONSE_MAX_BYTES,
+    val connectTimeoutMillis: Long = CONNECT_TIMEOUT_MILLIS
 ) {
     private companion object {
         // A listing of the store is about 1 MB, and so is a configuration.
         const val RESPONSE_MAX_BYTES = 8 * 1024 * 1024
+
+        // TCP retransmits a lost connection request only after a second.
+        const val CONNECT_TIMEOUT_MILLIS = 1000L
     }
 }
 
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
@@ -32,9 +32,9 @@
                 fleet.of(writers) shouldBe emptyList()
             }
             it("is removed only after the grace period shortly after a store outage") {
-                val fleet = Fleet(unlistedGraceMillis = 2000)
+                val fleet = Fleet(stabilityMillis = 3000)
                 fleet.put(record("e1"), 0)
-                fleet.onStoreRecovered(outageMillis = 5000, nowMillis = 1000)
+                fleet.onStoreRecovered(StoreOutage(-4000, 900, 1000))
                 fleet.replaceAll(emptyList(), 1100)
                 fleet.of(writers).size shouldBe 1
                 fleet.expire(2900)
@@ -44,24 +44,42 @@
             }
             // Guards against sending to an endpoint that has left because a watch was cut off.
             it("is removed immediately after an interruption in which no record expires") {
-                val fleet = Fleet(unlistedGraceMillis = 2000)
+                val fleet = Fleet(stabilityMillis = 3000)
                 fleet.put(record("e1"), 0)
-                fleet.onStoreRecovered(outageMillis = 200, nowMillis = 1000)
+                fleet.onStoreRecovered(StoreOutage(800, 900, 1000))
                 fleet.remove(EndpointId("e1"), 1100)
                 fleet.of(writers) shouldBe emptyList()
             }
             it("is not kept longer by interruptions in which no record expires") {
-                val fleet = Fleet(unlistedGraceMillis = 2000)
+                val fleet = Fleet(stabilityMillis = 3000)
                 fleet.put(record("e1"), 0)
-                fleet.onStoreRecovered(outageMillis = 5000, nowMillis = 1000)
+                fleet.onStoreRecovered(StoreOutage(-4000, 900, 1000))
                 fleet.remove(EndpointId("e1"), 1100)
-                fleet.onStoreRecovered(outageMillis = 200, nowMillis = 2900)
+                fleet.onStoreRecovered(StoreOutage(2700, 2800, 2900))
+                fleet.expire(3000) shouldBe listOf(EndpointId("e1"))
+            }
+            // Guards against sending to an endpoint that left while only this entry was cut off.
+            it("is not kept longer than the store may be back for, if its return was seen late") {
+                val fleet = Fleet(stabilityMillis = 3000)
+                fleet.put(record("e1"), 0)
+                fleet.onStoreRecovered(StoreOutage(1000, 5000, 7500))
+                fleet.remove(EndpointId("e1"), 7600)
+                fleet.expire(7699) shouldBe emptyList()
+                fleet.expire(7700) shouldBe listOf(EndpointId("e1"))
+            }
+            it("is kept for the grace period of its first outage only") {
+                val fleet = Fleet(stabilityMillis = 3000)
+                fleet.put(record("e1"), 0)
+                fleet.onStoreRecovered(StoreOutage(-4000, 900, 1000))
+                fleet.replaceAll(emptyList(), 1100)
+                fleet.onStoreRecovered(StoreOutage(1200, 2700, 2800))
+                fleet.replaceAll(emptyList(), 2850)
                 fleet.expire(3000) shouldBe listOf(EndpointId("e1"))
             }
             it("is kept when it is listed again within the grace period") {
-                val fleet = Fleet(unlistedGraceMillis = 2000)
+                val fleet = Fleet(stabilityMillis = 3000)
                 fleet.put(record("e1"), 0)
-                fleet.onStoreRecovered(outageMillis = 5000, nowMillis = 1000)
+                fleet.onStoreRecovered(StoreOutage(-4000, 900, 1000))
                 fleet.remove(EndpointId("e1"), 1100)
                 fleet.put(record("e1"), 1500)
                 fleet.expire(5000) shouldBe emptyList()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -16,6 +16,7 @@
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.FleetEndpoint
 import org.toucanspur.core.gateway.GracePeriod
+import org.toucanspur.core.gateway.StoreOutage
 import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.ObjectFeed
 import org.toucanspur.core.platform.ObjectKind
@@ -77,7 +78,8 @@
             configuration,
             WatchPacing(
                 BATCH_DELAY_MILLIS,
-                settings.bounds.configurationMillis.toLong() / CONFIGURATION_LISTINGS
+                settings.bounds.configurationMillis.toLong() / CONFIGURATION_LISTINGS,
+                BACKOFF_MAX_MILLIS
             )
         )
         startLongPollWatches()
@@ -133,7 +135,7 @@
             loadSubscriber.sendQueries()
             dispatcher.onLoadChanged()
         }
-        val pacing = WatchPacing(BATCH_DELAY_MILLIS)
+        val pacing = WatchPacing(BATCH_DELAY_MILLIS, backoffMaxMillis = BACKOFF_MAX_MILLIS)
         watches += startWatch(ObjectKind.ENDPOINTS, WATCH_MILLIS, endpoints, pacing)
         watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, EvacuationListener(state, log))
         watches += startWatch(
@@ -146,8 +148,8 @@
 
     // A watch whose connection an outage has stalled would fail only at the end of its wait, so
     // these watches are restarted once the store responds again.
-    private fun onStoreAvailable(outageMillis: Long) {
-        state.fleet.onStoreRecovered(outageMillis, monotonicMillis())
+    private fun onStoreAvailable(outage: StoreOutage) {
+        state.fleet.onStoreRecovered(outage)
         watches.forEach { it.cancel() }
         watches.clear()
         startLongPollWatches()
@@ -197,6 +199,10 @@
         // each other quickly. The rest is for the transfer of a listing.
         const val CONFIGURATION_LISTINGS = 4
 
+        // The earlier the end of an outage is seen, the longer endpoints whose records have expired
+        // can be kept.
+        const val BACKOFF_MAX_MILLIS = 400L
+
         // TCP keepalive detects a dead connection before this wait ends.
         const val WATCH_MILLIS = 10_000L
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -86,7 +86,7 @@
             ObjectKind.WEIGHT_VERSIONS in listedKinds
 
     /** All known endpoints. */
-    val fleet = Fleet(random = random)
+    val fleet = Fleet(settings.bounds.stabilityMillis.toLong(), random)
 
     /** Objects in the list of endpoints that name no endpoint, by name. */
     val unreadableRecords = HashMap<String, RecordFault>()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
+import org.toucanspur.core.gateway.StoreOutage
 import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.FeedFailure
 import org.toucanspur.core.platform.ObjectChange
@@ -42,16 +43,21 @@
     /** Called once per outage when the store becomes unavailable. */
     fun onStoreUnavailable(reason: String) = Unit
 
-    /** Called when the store is available again after [outageMillis]. */
-    fun onStoreAvailable(outageMillis: Long) = Unit
+    /** Called when the store is available again after [outage]. */
+    fun onStoreAvailable(outage: StoreOutage) = Unit
 }
 
 /**
  * Delays of a watch after changes: [batchDelayMillis] before the next call, so that a burst of
  * changes needs few calls. If there are new changes by then, the objects are listed every
- * [burstDelayMillis] until they stop changing, or never if that is null.
+ * [burstDelayMillis] until they stop changing, or never if that is null. After failures the delay
+ * grows to [backoffMaxMillis] on average.
  */
-class WatchPacing(val batchDelayMillis: Long = 0, val burstDelayMillis: Long? = null)
+class WatchPacing(
+    val batchDelayMillis: Long = 0,
+    val burstDelayMillis: Long? = null,
+    val backoffMaxMillis: Long = 800
+)
 
 /**
  * Watches objects of [kind]; each watch call waits for up to [waitMillis], with [pacing] after
@@ -69,7 +75,7 @@
 ) {
     private var revision: Long? = null
     private var backoffMillis = BACKOFF_MIN_MILLIS
-    private var outageStartMillis: Long? = null
+    private var outage: StoreOutage? = null
     private var newestObjectRevision = 0L
     private var changedMillis: Long? = null
     private var isBurst = false
@@ -94,7 +100,7 @@
 
     private fun callWaitMillis(): Long = when {
         revision == null || isBurst -> 0
-        outageStartMillis == null -> waitMillis
+        outage == null -> waitMillis
         else -> CHECK_WAIT_MILLIS
     }
 
@@ -162,9 +168,9 @@
 
     private fun onSuccess() {
         backoffMillis = BACKOFF_MIN_MILLIS
-        val outageStart = outageStartMillis ?: return
-        outageStartMillis = null
-        listener.onStoreAvailable(clocks.now().monotonicMillis - outageStart)
+        val ended = outage?.copy(endMillis = clocks.now().monotonicMillis) ?: return
+        outage = null
+        listener.onStoreAvailable(ended)
     }
 
     private suspend fun onFailure(failure: FeedFailure, start: ClockReading, callWaitMillis: Long) {
@@ -176,20 +182,23 @@
         progress.onFailure(start, now)
         // A watch would return all that has changed meanwhile.
         isBurst = pacing.burstDelayMillis != null
-        if (outageStartMillis == null) {
-            // A call that ended late was not cut off: the store may have been silent all the time.
-            val dueMillis = start.monotonicMillis + callWaitMillis + RESPONSE_MAX_MILLIS
-            val isSilent = now.monotonicMillis > dueMillis
-            outageStartMillis = (if (isSilent) start else now).monotonicMillis
-            listener.onStoreUnavailable(failure.message)
-        }
+        // A call that ended late was not cut off: the store may have been silent all the time.
+        val dueMillis = start.monotonicMillis + callWaitMillis + RESPONSE_MAX_MILLIS
+        val isSilent = now.monotonicMillis > dueMillis
+        val unavailableMillis = (if (isSilent) start else now).monotonicMillis
+        val known = outage
+        if (known == null) listener.onStoreUnavailable(failure.message)
+        outage = StoreOutage(
+            known?.startMillis ?: unavailableMillis,
+            unavailableMillis,
+            now.monotonicMillis
+        )
         delay(backoffMillis / 2 + random.nextLong(backoffMillis))
-        backoffMillis = minOf(backoffMillis * 2, BACKOFF_MAX_MILLIS)
+        backoffMillis = minOf(backoffMillis * 2, pacing.backoffMaxMillis)
     }
 
     private companion object {
         const val BACKOFF_MIN_MILLIS = 100L
-        const val BACKOFF_MAX_MILLIS = 800L
         const val WATCH_TIMEOUT_MARGIN_MILLIS = 1000L
         const val CHECK_WAIT_MILLIS = 1L
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -14,6 +14,7 @@
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.EndpointRecord
+import org.toucanspur.core.gateway.StoreOutage
 import org.toucanspur.core.gateway.VersionDiscovery
 import org.toucanspur.core.platform.ObjectChange
 import org.toucanspur.core.platform.ObjectKind
@@ -37,9 +38,10 @@
         put("reason", reason)
     }
 
-    override fun onStoreAvailable(outageMillis: Long) = log.event(EventCode.STORE_RECOVERED) {
+    override fun onStoreAvailable(outage: StoreOutage) = log.event(EventCode.STORE_RECOVERED) {
         put("kind", kind.name)
-        put("outageMillis", outageMillis)
+        put("outageMillis", outage.lengthMillis)
+        put("unseenEndMillis", outage.endMillis - outage.knownUntilMillis)
     }
 }
 
@@ -47,7 +49,7 @@
 class ConfigurationListener(
     private val state: GatewayState,
     log: DecisionLog,
-    private val onStoreAvailableAgain: (outageMillis: Long) -> Unit
+    private val onStoreAvailableAgain: (StoreOutage) -> Unit
 ) : LoggingWatchListener(ObjectKind.CONFIGURATION, log) {
     override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) =
         objects.forEach { adopt(it, unseenSince) }
@@ -57,9 +59,9 @@
 
     override fun onUpToDate(at: ClockReading) = state.freshness.renew(at)
 
-    override fun onStoreAvailable(outageMillis: Long) {
-        super.onStoreAvailable(outageMillis)
-        onStoreAvailableAgain(outageMillis)
+    override fun onStoreAvailable(outage: StoreOutage) {
+        super.onStoreAvailable(outage)
+        onStoreAvailableAgain(outage)
     }
 
     private fun adopt(stored: StoredObject, unseenSince: ClockReading) {
@@ -106,9 +108,9 @@
         onChanged()
     }
 
-    override fun onStoreAvailable(outageMillis: Long) {
-        super.onStoreAvailable(outageMillis)
-        state.fleet.onStoreRecovered(outageMillis, monotonicMillis())
+    override fun onStoreAvailable(outage: StoreOutage) {
+        super.onStoreAvailable(outage)
+        state.fleet.onStoreRecovered(outage)
     }
 
     private fun remove(name: String) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -32,9 +32,6 @@
 // Idle connections kept for one address, for calls that are made at the same time.
 private const val IDLE_CONNECTIONS_MAX = 2
 
-// TCP retransmits a lost connection request only after a second.
-private const val CONNECT_TIMEOUT_MILLIS = 1000L
-
 /** Makes HTTP calls on [loop]; confined to its thread. */
 class NettyHttpClient(private val loop: NettyEventLoop) : HttpCaller {
     private val idleChannels = HashMap<String, ArrayDeque<Channel>>()
@@ -68,7 +65,7 @@
         }
 
         fun start() {
-            val connectMillis = minOf(call.timeoutMillis, CONNECT_TIMEOUT_MILLIS).toInt()
+            val connectMillis = minOf(call.timeoutMillis, call.connectTimeoutMillis).toInt()
             val future = loop.connect(socketAddress(call.address), connectMillis) {
                 it.pipeline().addResponseDecoder()
                 it.pipeline().addLast(
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -17,6 +17,7 @@
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.PauseHistory
+import org.toucanspur.core.gateway.StoreOutage
 import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.FeedFailure
 import org.toucanspur.core.platform.ObjectChange
@@ -140,10 +141,10 @@
         callbacks += "lost $reason"
     }
 
-    val outagesMillis = mutableListOf<Long>()
+    val outages = mutableListOf<StoreOutage>()
 
-    override fun onStoreAvailable(outageMillis: Long) {
-        outagesMillis += outageMillis
+    override fun onStoreAvailable(outage: StoreOutage) {
+        outages += outage
         callbacks += "regained"
     }
 }
@@ -237,7 +238,7 @@
                     val feed = ScriptedFeed(cutOff, prompt, unchanged)
                     val listener = runWatcher(feed, millis = 3000)
                     feed.waitsMillis.take(3) shouldBe listOf(WAIT_MILLIS, 1, WAIT_MILLIS)
-                    listener.outagesMillis.single() shouldBeLessThan 200
+                    listener.outages.single().lengthMillis shouldBeLessThan 200
                 }
             }
             it("counts the silence of the store as part of an outage") {
@@ -248,7 +249,7 @@
                         { Ok(ObjectChanges(emptyList(), 5)) }
                     val listener =
                         runWatcher(ScriptedFeed(silent, prompt, unchanged), millis = 3000)
-                    listener.outagesMillis.single() shouldBeGreaterThan 2000
+                    listener.outages.single().lengthMillis shouldBeGreaterThan 2000
                 }
             }
             it("dates a change on a working connection to its arrival") {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -55,7 +55,7 @@
     StoreSection("127.0.0.1:1", 1200),
     EngineSection("none", ServiceId("none")),
     LimitsSection(430, 4200, 1000.0),
-    BoundsSection(2000, 8, 60_000, 5000, 2000, VERSION_BOUND_MILLIS, 0.2, 10, 100, 5, 120)
+    BoundsSection(2000, 8, 60_000, 5000, 2000, 3000, VERSION_BOUND_MILLIS, 0.2, 10, 100, 5, 120)
 )
 
 private fun route(
