Check a watch whose objects may have changed without it noticing

Cause: a watch of the endpoints waits for 10 s, and on a connection on which a response is lost it waits for 10.8 s. Only a failure of the watch of the configuration restarts it. Meanwhile the entry acts on the old list: it sends requests to endpoints that have left, and is ready. The same holds for evacuations.

Change: one rule for all kinds. The store has one revision counter, and each response names its revision. A kind that is known up to that revision is confirmed by a response about any other kind. A kind that is not, and whose last confirmation is older than half of the time for which it may be acted on (the bounds on leaving endpoints, evacuations and versions), is checked: its call is given up, and the next one does not wait (E205). So there are no more calls while nothing changes. An entry is ready only while all kinds are confirmed, not only the configuration. E501 names the age of the list of endpoints.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -16,6 +16,7 @@
     OBJECT_API_UNAVAILABLE(202, "object API call failed"),
     STORE_UNAVAILABLE(203, "platform store unavailable"),
     STORE_RECOVERED(204, "platform store available again"),
+    WATCH_CHECKED(205, "watch checked because objects of its kind may have changed unnoticed"),
     CONFIGURATION_ADOPTED(210, "traffic configuration adopted"),
     CONFIGURATION_REJECTED(211, "traffic configuration is invalid and was ignored"),
     ENDPOINT_LISTED(220, "endpoint listed or changed"),
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Freshness.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Freshness.kt
@@ -19,11 +19,12 @@
 }
 
 /**
- * Tracks when the active configuration was last confirmed to be the newest. API keys are accepted
- * only while that confirmation is younger than [limitMillis], so that a revoked key stops working
- * everywhere within the revocation bound, even at an entry that is partitioned from the store.
+ * Tracks when information was last confirmed to be current; it is fresh while that confirmation is
+ * younger than [limitMillis]. API keys are accepted only while the configuration is fresh, so that a
+ * revoked key stops working everywhere within the revocation bound, even at an entry that is
+ * partitioned from the store.
  */
-class ConfigurationFreshness(private val limitMillis: Long) {
+class Freshness(private val limitMillis: Long) {
     private var confirmedAt: ClockReading? = null
 
     /** Records that the state of the store as of [at] is known here. */
@@ -32,7 +33,7 @@
         if (current == null || at.monotonicMillis >= current.monotonicMillis) confirmedAt = at
     }
 
-    /** Whether API keys may be accepted at [now]. */
+    /** Whether the information may be used at [now]. */
     fun isFresh(now: ClockReading): Boolean = ageMillis(now)?.let { it < limitMillis } ?: false
 
     /** Age of the last confirmation; null before the first one. */
@@ -40,7 +41,7 @@
 
     companion object {
         /**
-         * Safety margin subtracted from the revocation bound: a watch may be silent for one second
+         * Safety margin subtracted from the bound on a revocation: a watch may be silent for one second
          * when the store discards its history, and a request takes up to 300 ms to reach an
          * endpoint.
          */
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/FreshnessTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/FreshnessTest.kt
@@ -15,21 +15,21 @@
         }
         describe("the freshness of the configuration") {
             it("is absent before the first confirmation") {
-                ConfigurationFreshness(1000).isFresh(ClockReading(0, 0)) shouldBe false
+                Freshness(1000).isFresh(ClockReading(0, 0)) shouldBe false
             }
             it("ends at the age limit") {
-                val freshness = ConfigurationFreshness(1000)
+                val freshness = Freshness(1000)
                 freshness.renew(ClockReading(0, 0))
                 freshness.isFresh(ClockReading(999, 999)) shouldBe true
                 freshness.isFresh(ClockReading(1000, 1000)) shouldBe false
             }
             it("ends when a VM resumes after a suspension longer than the limit") {
-                val freshness = ConfigurationFreshness(1000)
+                val freshness = Freshness(1000)
                 freshness.renew(ClockReading(0, 0))
                 freshness.isFresh(ClockReading(10, 6000)) shouldBe false
             }
             it("is not reduced by a confirmation that arrives late") {
-                val freshness = ConfigurationFreshness(1000)
+                val freshness = Freshness(1000)
                 freshness.renew(ClockReading(500, 500))
                 freshness.renew(ClockReading(100, 100))
                 freshness.ageMillis(ClockReading(600, 600)) shouldBe 100
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallLog.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallLog.kt
@@ -8,6 +8,7 @@
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.AttemptOutcome
 import org.toucanspur.core.gateway.Placement
+import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.schema.RequestId
@@ -35,6 +36,9 @@
             put("isOnTime", call.isOnTime)
             put("occupancy", endpoint.occupancy(now, state.entryCount(now)))
             put("reportAgeMillis", endpoint.reportAgeMillis(now))
+            val endpointsAgeMillis =
+                state.storeFreshness[ObjectKind.ENDPOINTS].ageMillis(systemClocks.now())
+            put("endpointsAgeMillis", endpointsAgeMillis ?: -1)
             endpoint.nextLoadMillis(now)?.let { put("nextLoadMillis", it) }
             describe()
             put("configuration", state.configuration?.version ?: 0)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -7,6 +7,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.net.InetSocketAddress
+import java.util.EnumMap
 import kotlin.random.Random
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -65,7 +66,8 @@
             state.versions.onTargetVersion(target.model, target.version, since, age)
         }
     private val watches = mutableListOf<Job>()
-    private val watchHealth = WatchHealth()
+    private val watchHealth = WatchHealth(state.storeFreshness)
+    private val watchers = EnumMap<ObjectKind, ObjectWatcher>(ObjectKind::class.java)
     private var isStopping = false
     private var areKeysAccepted = false
 
@@ -118,7 +120,7 @@
         pacing: WatchPacing = WatchPacing(),
         progress: WatchProgress = WatchProgress()
     ): Job = loop.supervise("watch $kind", { watchHealth.onFailed(kind) }) {
-        ObjectWatcher(
+        val watcher = ObjectWatcher(
             store,
             kind,
             waitMillis,
@@ -127,7 +129,9 @@
             watchHealth.observe(kind, listener),
             pacing,
             progress
-        ).run()
+        )
+        watchers[kind] = watcher
+        watcher.run()
     }
 
     private fun startLongPollWatches() {
@@ -158,10 +162,17 @@
     private fun isReady(): Boolean = !isStopping &&
         state.isComplete &&
         watchHealth.areAllFollowing &&
-        state.freshness.isFresh(systemClocks.now())
+        state.storeFreshness.areAllWithin(state.evidenceMaxAgeMillis, systemClocks.now())
 
     private fun checkFreshness() {
         val now = systemClocks.now()
+        state.storeFreshness.takeDueForCheck(now).forEach { kind ->
+            log.event(EventCode.WATCH_CHECKED) {
+                put("kind", kind.name)
+                put("ageMillis", state.storeFreshness[kind].ageMillis(now))
+            }
+            watchers[kind]?.check()
+        }
         val isFresh = state.freshness.isFresh(now)
         if (isFresh == areKeysAccepted) return
         areKeysAccepted = isFresh
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -10,14 +10,15 @@
 import org.toucanspur.core.gateway.CallerTimeouts
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
-import org.toucanspur.core.gateway.ConfigurationFreshness
 import org.toucanspur.core.gateway.CrashSuspectLimits
 import org.toucanspur.core.gateway.CrashSuspects
 import org.toucanspur.core.gateway.Fleet
+import org.toucanspur.core.gateway.Freshness
 import org.toucanspur.core.gateway.LimitExchange
 import org.toucanspur.core.gateway.RequestPlacer
 import org.toucanspur.core.gateway.RetryBudgetLimits
 import org.toucanspur.core.gateway.RetryBudgetShare
+import org.toucanspur.core.gateway.StoreFreshness
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.VersionGate
 import org.toucanspur.core.platform.ObjectKind
@@ -40,6 +41,9 @@
 // Records expire after three heartbeats without a renewal; the rest is for the watch of the store.
 private const val CONFIRMATION_HEARTBEATS = 5L
 
+// A watch is not checked more often than the watch of the configuration returns.
+private const val LIMIT_MIN_MILLIS = 2000L
+
 // Limits on callers before the first configuration is loaded.
 private val initialLimits = CallerLimits(
     headerMaxBytes = 16_384,
@@ -101,11 +105,25 @@
         )
     )
 
-    /** Freshness of the configuration. */
-    val freshness = ConfigurationFreshness(
-        settings.bounds.revocationMillis.toLong() - ConfigurationFreshness.MARGIN_MILLIS
+    /** Age up to which API keys are accepted by the configuration, and the entry is ready. */
+    val evidenceMaxAgeMillis = settings.bounds.revocationMillis - Freshness.MARGIN_MILLIS
+
+    /** Freshness of what is known of the store. */
+    val storeFreshness = StoreFreshness(
+        mapOf(
+            ObjectKind.CONFIGURATION to evidenceMaxAgeMillis,
+            ObjectKind.ENDPOINTS to evidenceLimitMillis(settings.bounds.drainMillis),
+            ObjectKind.EVACUATIONS to evidenceLimitMillis(settings.bounds.evacuationMillis),
+            ObjectKind.WEIGHT_VERSIONS to evidenceLimitMillis(settings.bounds.versionMillis)
+        )
     )
 
+    private fun evidenceLimitMillis(boundMillis: Int): Long =
+        maxOf(minOf(boundMillis.toLong(), evidenceMaxAgeMillis), LIMIT_MIN_MILLIS)
+
+    /** Freshness of the configuration. */
+    val freshness: Freshness get() = storeFreshness[ObjectKind.CONFIGURATION]
+
     /** Weight versions named by the operator. */
     val versions = VersionGate(settings.bounds.versionMillis.toLong())
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -11,9 +11,15 @@
  */
 package org.toucanspur.daemon.gateway
 
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
 import kotlin.random.Random
+import kotlinx.coroutines.async
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
@@ -37,8 +43,11 @@
     /** Called with the changes since the previous listing or change, made after [unseenSince]. */
     fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading)
 
-    /** Called when all changes acknowledged before [at] have been delivered. */
-    fun onUpToDate(at: ClockReading) = Unit
+    /**
+     * Called when all changes up to [revision] have been delivered, among them all that were
+     * acknowledged before [at].
+     */
+    fun onUpToDate(revision: Long, at: ClockReading) = Unit
 
     /** Called once per outage when the store becomes unavailable. */
     fun onStoreUnavailable(reason: String) = Unit
@@ -80,6 +89,13 @@
     private var changedMillis: Long? = null
     private var isBurst = false
     private var pauseMillis = 0L
+    private val checks = Channel<Unit>(Channel.CONFLATED)
+    private var isCheckDue = false
+
+    /** Ends the wait of the current call; the next one, on a new connection, does not wait. */
+    fun check() {
+        checks.trySend(Unit)
+    }
 
     /** Lists and watches until cancelled. */
     suspend fun run() {
@@ -100,7 +116,7 @@
 
     private fun callWaitMillis(): Long = when {
         revision == null || isBurst -> 0
-        outage == null -> waitMillis
+        outage == null && !isCheckDue -> waitMillis
         else -> CHECK_WAIT_MILLIS
     }
 
@@ -128,9 +144,9 @@
         val at = clocks.now()
         // Limits the whole call by this VM's own clock too, which may have been paused.
         val result = withTimeoutOrNull(waitMillis + WATCH_TIMEOUT_MARGIN_MILLIS) {
-            feed.watch(kind, afterRevision, waitMillis)
+            untilCheck { feed.watch(kind, afterRevision, waitMillis) }
         } ?: return FeedFailure.Unavailable("watch timed out")
-        val changes = result.getOrElse { return it }
+        val changes = result.getOrElse { return it } ?: return null
         revision = maxOf(afterRevision, changes.storeRevision)
         if (changes.changes.isEmpty()) {
             onUpToDate(confirmedAt(at, waitMillis))
@@ -143,6 +159,25 @@
         return null
     }
 
+    // Returns no changes if a check is requested while [call] waits.
+    private suspend fun untilCheck(
+        call: suspend () -> Result<ObjectChanges, FeedFailure>
+    ): Result<ObjectChanges?, FeedFailure> = coroutineScope {
+        val pending = async { call() }
+        val wasCheck = isCheckDue
+        isCheckDue = false
+        if (wasCheck || outage != null) return@coroutineScope pending.await()
+        checks.tryReceive()
+        select<Result<ObjectChanges?, FeedFailure>> {
+            pending.onAwait { it }
+            checks.onReceive {
+                pending.cancel()
+                isCheckDue = true
+                Ok(null)
+            }
+        }
+    }
+
     private fun pace(changes: ObjectChanges, nowMillis: Long) {
         hasNewer(changes.changes.map { it.stored })
         val burstDelayMillis = pacing.burstDelayMillis
@@ -156,7 +191,7 @@
 
     private fun onUpToDate(at: ClockReading) {
         progress.onUpToDate(at)
-        listener.onUpToDate(at)
+        listener.onUpToDate(checkNotNull(revision), at)
     }
 
     // A watch without changes lasts for its whole wait; if it ends earlier, the store ended it and
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchHealth.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchHealth.kt
@@ -6,10 +6,11 @@
 
 import java.util.EnumSet
 import org.toucanspur.core.gateway.ClockReading
+import org.toucanspur.core.gateway.StoreFreshness
 import org.toucanspur.core.platform.ObjectKind
 
 /** Health of the watches of one entry; confined to the event loop. */
-class WatchHealth {
+class WatchHealth(private val freshness: StoreFreshness) {
     private val failed = EnumSet.noneOf(ObjectKind::class.java)
 
     /** Whether no watch has failed since it was last up to date. */
@@ -20,11 +21,12 @@
         failed += kind
     }
 
-    /** Returns [listener], which also records when the watch of [kind] is up to date. */
+    /** Returns [listener], which also records when the watch of [kind] is up to date, and how far. */
     fun observe(kind: ObjectKind, listener: ObjectWatchListener): ObjectWatchListener =
         object : ObjectWatchListener by listener {
-            override fun onUpToDate(at: ClockReading) {
-                listener.onUpToDate(at)
+            override fun onUpToDate(revision: Long, at: ClockReading) {
+                listener.onUpToDate(revision, at)
+                freshness.onConfirmed(kind, revision, at)
                 failed -= kind
             }
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -57,8 +57,6 @@
     override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) =
         changes.filterNot { it.isRemoved }.forEach { adopt(it.stored, unseenSince) }
 
-    override fun onUpToDate(at: ClockReading) = state.freshness.renew(at)
-
     override fun onStoreAvailable(outage: StoreOutage) {
         super.onStoreAvailable(outage)
         onStoreAvailableAgain(outage)
@@ -216,7 +214,7 @@
         changes.filterNot { it.isRemoved }
             .forEach { adopt(it.stored, unseenSince, VersionDiscovery.NEW) }
 
-    override fun onUpToDate(at: ClockReading) {
+    override fun onUpToDate(revision: Long, at: ClockReading) {
         upToDateAt = at
     }
 
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -133,7 +133,7 @@
         changedSinceMillis = unseenSince.monotonicMillis
     }
 
-    override fun onUpToDate(at: ClockReading) {
+    override fun onUpToDate(revision: Long, at: ClockReading) {
         upToDateAtMillis = at.monotonicMillis
     }
 
@@ -330,6 +330,30 @@
                     job.cancel()
                 }
             }
+            // Guards against acting on an old list while a watch waits for a response that is lost.
+            it("ends its wait for a check, which returns what has changed") {
+                runTest {
+                    val silent: suspend () -> Result<ObjectChanges, FeedFailure> =
+                        { awaitCancellation() }
+                    val feed = ScriptedFeed(unchanged, silent, changed, unchanged)
+                    val listener = RecordingListener()
+                    val watcher = ObjectWatcher(
+                        feed,
+                        ObjectKind.ENDPOINTS,
+                        WAIT_MILLIS,
+                        { ClockReading(testScheduler.currentTime, testScheduler.currentTime) },
+                        Random(1),
+                        listener
+                    )
+                    val job = backgroundScope.launch { watcher.run() }
+                    advanceTimeBy(1300)
+                    watcher.check()
+                    advanceTimeBy(5)
+                    job.cancel()
+                    listener.callbacks shouldBe listOf("listing 1", "changes 1")
+                    feed.waitsMillis shouldBe listOf(WAIT_MILLIS, WAIT_MILLIS, 1, WAIT_MILLIS)
+                }
+            }
             it("times out when the store does not respond") {
                 runTest {
                     val unresponsive: suspend () -> Result<ObjectChanges, FeedFailure> =
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/WatchHealthTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/WatchHealthTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import org.toucanspur.core.gateway.ClockReading
+import org.toucanspur.core.gateway.StoreFreshness
 import org.toucanspur.core.platform.ObjectChange
 import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.core.platform.StoredObject
@@ -17,12 +18,12 @@
     DescribeSpec({
         describe("an entry whose watch has failed") {
             it("follows again when that watch is up to date") {
-                val health = WatchHealth()
+                val health = WatchHealth(StoreFreshness(emptyMap()))
                 health.areAllFollowing shouldBe true
                 health.onFailed(ObjectKind.ENDPOINTS)
-                health.observe(ObjectKind.EVACUATIONS, NoListener).onUpToDate(ClockReading(1, 1))
+                health.observe(ObjectKind.EVACUATIONS, NoListener).onUpToDate(1, ClockReading(1, 1))
                 health.areAllFollowing shouldBe false
-                health.observe(ObjectKind.ENDPOINTS, NoListener).onUpToDate(ClockReading(1, 1))
+                health.observe(ObjectKind.ENDPOINTS, NoListener).onUpToDate(1, ClockReading(1, 1))
                 health.areAllFollowing shouldBe true
             }
         }
