Do not take an endpoint whose reports have stopped for an idle one

Cause: a load report is valid for 500 ms. Without a valid one the load of an endpoint was the number of this entry's own requests. Under overload the frozen endpoint was then the only one with room: 0.51 s after its last report entries placed requests on it with an occupancy from 0, and went on for 2 s, each time that others had left it as silent.

Change: an expired report still shows the least load of its endpoint for as long again. Then the endpoint counts as silent, unless it has sent data to this entry meanwhile, and gets one request of an entry at a time, if no other endpoint takes it. It may be the agent alone that is down, and that request shows it.

Evidence: PlacementTest "an endpoint whose agent stops reporting" (three tests) fails with the earlier rule.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -85,6 +85,7 @@
     private var unresponsiveMillis = Long.MIN_VALUE
     private var connectionRefusedMillis = Long.MIN_VALUE
     private var respondedMillis = Long.MIN_VALUE
+    private var heardMillis = Long.MIN_VALUE
 
     /** Whether a more recently started endpoint is listed at the same address. */
     var isSuperseded = false
@@ -150,13 +151,30 @@
         nowMillis - reportReceivedMillis
     }
 
-    /** Estimated number of requests at the endpoint from all [entryCount] entries. */
+    /**
+     * Estimated number of requests at the endpoint from all [entryCount] entries. A report that is
+     * no longer fresh still shows the least number until the endpoint counts as silent.
+     */
     fun occupancy(nowMillis: Long, entryCount: Int): Int {
-        val fresh = freshReport(nowMillis) ?: return ownInFlight * maxOf(1, entryCount)
-        val reported = fresh.running + fresh.waiting
-        return maxOf(ownInFlight, reported + inFlightChangeSinceReport)
+        val fresh = freshReport(nowMillis)
+        val reported = (fresh ?: report?.takeIf { nowMillis < silentFromMillis(it) })
+            ?.let { it.running + it.waiting + inFlightChangeSinceReport } ?: 0
+        val own = if (fresh == null) ownInFlight * maxOf(1, entryCount) else ownInFlight
+        return maxOf(own, reported)
     }
 
+    /** Records that the endpoint has sent data to this entry. */
+    fun onHeard(nowMillis: Long) {
+        heardMillis = nowMillis
+    }
+
+    /** Whether the agent, which did report, has stopped, and the endpoint sends nothing either. */
+    fun isSilent(nowMillis: Long): Boolean =
+        report?.let { nowMillis >= silentFromMillis(it) } ?: false
+
+    private fun silentFromMillis(report: LoadReport): Long =
+        maxOf(reportReceivedMillis, heardMillis) + freshnessMillis(report) * 2
+
     /** Weight version that the endpoint serves; 0 when it reports none, null when it lists none. */
     fun loadedVersion(nowMillis: Long): Long? {
         val fresh = freshReport(nowMillis)
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -82,7 +82,7 @@
                 continue
             }
             val cost = predicted + localityPenaltyMillis(endpoint) +
-                endpoint.score(nowMillis) * FAILURE_PENALTY_MILLIS +
+                failureShare(endpoint, nowMillis) * FAILURE_PENALTY_MILLIS +
                 random.nextDouble() * JITTER_MILLIS
             if (cost < bestCost) {
                 best = endpoint
@@ -112,6 +112,8 @@
             (query.regions == null || record.region in query.regions) &&
             hasWeights(endpoint, query, nowMillis) &&
             !endpoint.isPaused(nowMillis) &&
+            // The agent alone may be down, so one request may show that the endpoint works.
+            !(endpoint.ownInFlight > 0 && endpoint.isSilent(nowMillis)) &&
             !(query.mustFinish && isInterruptedByLoad(endpoint, query, nowMillis))
     }
 
@@ -172,6 +174,9 @@
             predictedFirstEventMillis(engine, occupancy, query.promptTokens, unreportedArrivals)
     }
 
+    private fun failureShare(endpoint: FleetEndpoint, nowMillis: Long): Double =
+        if (endpoint.isSilent(nowMillis)) 1.0 else endpoint.score(nowMillis)
+
     private fun localityPenaltyMillis(endpoint: FleetEndpoint): Double = when {
         endpoint.record.zone == zone -> 0.0
         endpoint.record.region == region -> OTHER_ZONE_PENALTY_MILLIS
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/PlacementTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/PlacementTest.kt
@@ -60,6 +60,37 @@
                     BUDGET_MILLIS
             }
         }
+        // Guards against taking an endpoint whose VM is frozen for an idle one: its last report
+        // expires, and it got the requests that no other endpoint could take.
+        describe("an endpoint whose agent stops reporting") {
+            it("keeps the load of its last report until it counts as silent") {
+                val fleet = fleet(record("e0"))
+                fleet.load("e0", 17)
+                placer(fleet).place(query(), BUDGET_MILLIS, 900, 4)
+                    .shouldBeInstanceOf<Placement.Busy>()
+            }
+            it("receives one request at most while it is silent, if no other one is free") {
+                val fleet = fleet(record("e0"), record("e1"))
+                fleet.load("e0", 3)
+                fun place() = placer(fleet).place(query(), BUDGET_MILLIS, 1000, 4)
+                place().shouldBeInstanceOf<Placement.Send>().endpoint.record.id.value shouldBe "e1"
+                fleet.remove(EndpointId("e1"), 1000)
+                place().shouldBeInstanceOf<Placement.Send>()
+                fleet.find(EndpointId("e0"))!!.onAttempt(1000)
+                place() shouldBe Placement.Nowhere
+            }
+            it("receives requests while it sends responses") {
+                val fleet = fleet(record("e0"))
+                fleet.load("e0", 3)
+                fleet.find(EndpointId("e0"))!!.run {
+                    onAttempt(100)
+                    onHeard(500)
+                }
+                placer(fleet).place(query(), BUDGET_MILLIS, 1400, 1)
+                    .shouldBeInstanceOf<Placement.Send>()
+                placer(fleet).place(query(), BUDGET_MILLIS, 1500, 1) shouldBe Placement.Nowhere
+            }
+        }
         describe("an endpoint that says that it is leaving") {
             it("receives no requests until its next run") {
                 val fleet = fleet(record("e"))
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -337,7 +337,7 @@
 
     override fun onHead(exchange: EndpointExchange, response: HttpResponse) {
         if (exchange !== this.exchange) return
-        lastProgressMillis = monotonicMillis()
+        onHeard()
         val status = response.status().code()
         val lookup = { name: String -> response.headers().get(name) }
         val respondedId = delegate.codec.requestIdOf(lookup)
@@ -434,12 +434,17 @@
 
     override fun onBody(exchange: EndpointExchange, bytes: ByteArray) {
         if (!isCurrent(exchange)) return
-        lastProgressMillis = monotonicMillis()
+        onHeard()
         val events = eventSplitter
         if (events == null) bufferOrRelay(bytes) else relayEvents(events, bytes)
         if (exchange === this.exchange) reportBuffered()
     }
 
+    private fun onHeard() {
+        lastProgressMillis = monotonicMillis()
+        endpoint?.onHeard(lastProgressMillis)
+    }
+
     private fun relayEvents(events: EventStreamSplitter, bytes: ByteArray) {
         val batch = events.add(bytes)
         if (events.isOverflowing) {
