Wait in tests of crashing requests for the confirmed crashes

They now wait for three E511, one for each crash, which is what the race was about. GatewayTest passes.

--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -506,7 +506,7 @@
                     created.call("/stream/", extraHeaders = deadly, body = "deadly $it")
                 }
                 repeat(8) { created.call("/stream/", extraHeaders = sound) shouldContain "token3" }
-                created.events.next(EventCode.FINGERPRINT_REFUSED).shouldNotBeNull()
+                repeat(3) { created.events.next(EventCode.ENDPOINT_CRASHED).shouldNotBeNull() }
                 return created
             }
             it("are refused without being executed after three crashes, others are served") {
@@ -537,7 +537,7 @@
                 created = running
                 repeat(3) { running.call("/once/", body = "same") shouldContain "502" }
                 repeat(8) { running.call("/once/", body = "other") shouldContain "fine" }
-                running.events.next(EventCode.FINGERPRINT_REFUSED).shouldNotBeNull()
+                repeat(3) { running.events.next(EventCode.ENDPOINT_CRASHED).shouldNotBeNull() }
                 repeat(3) { running.call("/once/", body = "same") shouldContain "503" }
                 executed.get() shouldBe 3
             }
@@ -560,7 +560,7 @@
                 running.call("/once/", body = "same") shouldContain "500"
                 running.call("/once/", body = "same") shouldContain "502"
                 repeat(8) { running.call("/once/", body = "other") shouldContain "fine" }
-                running.events.next(EventCode.FINGERPRINT_REFUSED).shouldNotBeNull()
+                repeat(3) { running.events.next(EventCode.ENDPOINT_CRASHED).shouldNotBeNull() }
                 running.call("/once/", body = "same") shouldContain "503"
             }
             it("are served when connections are lost but no endpoint went down") {
