Take repeatable calls back from an endpoint without any sign of life

Cause: a call left a silent endpoint only if another one had a free slot at that moment.

Change: a repeatable call whose endpoint counts as silent (no load report and no data) and has not responded for the time of a stall is taken back. It waits for another endpoint like any other call, or ends with 502, so that its caller can try again. Calls that must not run twice stay, as do responses that have begun.

Evidence: SilentEndpointTest "loses a repeatable call that no other endpoint takes, which ends at once" gets 504 at the deadline without the change.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -414,6 +414,8 @@
             .forEach { guarded(it) { versions.withdrawIfDue(it, untilMillis) } }
         activeCalls.filter { it.isSent && it.route.isRepeatable }
             .forEach { guarded(it) { checkStall(it, untilMillis) } }
+        activeCalls.filter { it.isAwaitingResponse && it.route.isRepeatable }
+            .forEach { guarded(it) { leaveIfSilent(it, untilMillis) } }
     }
 
     private fun onWaitExpired(call: Call, nowMillis: Long) {
@@ -469,6 +471,20 @@
         send(call, placement)
     }
 
+    // An endpoint without any sign of life is not expected to respond in time. Its callers are served
+    // by another one, or learn at once that they should try again.
+    private fun leaveIfSilent(call: Call, untilMillis: Long) {
+        val endpoint = call.endpoint ?: return
+        val silentMillis = untilMillis - call.lastProgressMillis
+        val isStalled = silentMillis >= stallMillis(call.route, call.isCommitted)
+        if (!isStalled || !endpoint.isSilent(untilMillis)) return
+        endpoint.onSignal(EndpointSignal.TRANSPORT_FAILURE, monotonicMillis())
+        endpoint.onSlowPath(monotonicMillis())
+        callLog.onSilent(call, silentMillis)
+        crashes.onLost(call)
+        call.withdraw("endpoint is silent")
+    }
+
     private fun takeRetryPermit(call: Call, nowMillis: Long): Boolean =
         state.retryAllowance(call.service.id).tryAcquire(nowMillis, state.entryCount(nowMillis))
 
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/SilentEndpointTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/SilentEndpointTest.kt
@@ -94,6 +94,22 @@
             return gateway.call(path, extraHeaders = LEFT)
         }
 
+        // Guards against leaving callers at an endpoint whose VM is frozen until they give up.
+        describe("an endpoint whose agent has stopped reporting as well") {
+            it("loses a repeatable call that no other endpoint takes, which ends at once") {
+                val silent = endpoint { _, socket -> socket.readUntilSilent() }
+                val gateway = TestGateway(listOf(silent.port), targetMillis = TARGET_MILLIS)
+                gateway.reportLoad(silent.port)
+                gateway.call("/idempotent/", extraHeaders = LEFT) shouldContain
+                    "no endpoint for another send"
+            }
+            it("keeps a call that must not run twice until the deadline") {
+                val silent = endpoint { _, socket -> socket.readUntilSilent() }
+                val gateway = TestGateway(listOf(silent.port), targetMillis = TARGET_MILLIS)
+                gateway.reportLoad(silent.port)
+                gateway.call("/once/", extraHeaders = "Left: 3000\r\n") shouldContain "504"
+            }
+        }
         describe("a stream whose endpoint is silent after its last event") {
             // Guards against aborting a response that its endpoint has completed.
             it("is complete when the endpoint ends the response") {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -24,6 +24,7 @@
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.EngineSection
 import org.toucanspur.schema.LimitsSection
+import org.toucanspur.schema.LoadReport
 import org.toucanspur.schema.ModelId
 import org.toucanspur.schema.NodeConfiguration
 import org.toucanspur.schema.NodeRole
@@ -245,6 +246,13 @@
         state.fleet.find(id)?.onBackoffRequested(backoffMillis, monotonicMillis())
     }
 
+    /** Applies a load report of the agent of the endpoint on [endpointPort], its last one. */
+    fun reportLoad(endpointPort: Int) = onLoop {
+        val id = EndpointId("e${endpoints.indexOf(endpointPort)}")
+        val report = LoadReport(VmId("vm"), 0, 1, 0, 0, 3, false, -1, 100, 100, 1, 0)
+        state.fleet.find(id)?.onReport(report, monotonicMillis())
+    }
+
     /** Lists another endpoint, on [port]. */
     fun add(port: Int) = onLoop { state.fleet.put(record(port, port), monotonicMillis()) }
 
