List all objects again when the store returns from an older copy

Cause: a store that returns from an older copy gives revisions out again. A watch from an earlier revision gets 410 only until the counter has passed that revision; after that it continues and misses what was written in between, with no error. Nothing read the header Store-Era. A listing from the older copy was taken for the current state: an evacuation that it lacks ended at once, a draining endpoint was ready again, and endpoints without a record had no grace if the moment was too short to be seen as an outage.

Change: listings and changes carry the era of the store. A revision of another era confirms no kind. After the first listing of an era, evacuations that it lacks are kept for 2 s, in which the operator writes them again; a run of an endpoint stays draining; and endpoints that it lacks are kept as after an outage.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -384,7 +384,11 @@
      * requests applies again once the store has been available for the stability time.
      */
     fun onStoreRecovered(outage: StoreOutage) {
-        if (outage.lengthMillis <= RECORD_EXPIRY_MILLIS) return
+        if (outage.lengthMillis > RECORD_EXPIRY_MILLIS) onStoreRestored(outage)
+    }
+
+    /** Records that the store has returned from an older copy, which may lack running endpoints. */
+    fun onStoreRestored(outage: StoreOutage) {
         keepsUnlistedUntilMillis = minOf(
             outage.endMillis + UNLISTED_GRACE_MILLIS,
             outage.knownUntilMillis + stabilityMillis - TRANSIT_MILLIS
@@ -446,11 +450,22 @@
         if (nowMillis >= untilMillis) drop(id, nowMillis)
     }
 
-    /** Applies a complete listing and removes the endpoints that are not in it. */
-    fun replaceAll(records: List<EndpointRecord>, nowMillis: Long) {
+    /**
+     * Applies a complete listing and removes the endpoints that are not in it. If the listing is
+     * from an older copy ([isRestored]), a run of an endpoint that is draining stays so.
+     */
+    fun replaceAll(records: List<EndpointRecord>, nowMillis: Long, isRestored: Boolean = false) {
         val listed = records.map { it.id }.toSet()
         endpoints.keys.filter { it !in listed }.forEach { remove(it, nowMillis) }
-        records.forEach { put(it, nowMillis) }
+        records.forEach { put(if (isRestored) newer(it) else it, nowMillis) }
+    }
+
+    private fun newer(listed: EndpointRecord): EndpointRecord {
+        val known = endpoints[listed.id]?.record
+        val isDraining = known != null &&
+            known.startedAtMillis == listed.startedAtMillis &&
+            !known.isReady
+        return if (isDraining) listed.copy(isReady = false) else listed
     }
 
     /** Removes and returns the endpoints that were not listed again within the grace period. */
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/StoreFreshness.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/StoreFreshness.kt
@@ -17,13 +17,22 @@
 class StoreFreshness(limitsMillis: Map<ObjectKind, Long>) {
     private val evidence = limitsMillis.mapValues { KindEvidence(it.value) }
     private var respondedAt: ClockReading? = null
+    private var newestEra: Long? = null
 
     /** Freshness of [kind]. */
     operator fun get(kind: ObjectKind): Freshness = evidence.getValue(kind).freshness
 
-    /** Records that [kind] is known up to [revision], which the store had at [at] or later. */
-    fun onConfirmed(kind: ObjectKind, revision: Long, at: ClockReading) {
+    /** When the store last responded; null before its first response. */
+    val lastRespondedAt: ClockReading? get() = respondedAt
+
+    /**
+     * Records that [kind] is known up to [revision] of [era], which the store had at [at] or later.
+     * In another era it may have other objects at the revisions that are known.
+     */
+    fun onConfirmed(kind: ObjectKind, revision: Long, at: ClockReading, era: Long? = null) {
         val confirmed = evidence[kind] ?: return
+        if (era != newestEra) evidence.values.forEach { it.revision = Long.MIN_VALUE }
+        newestEra = era
         confirmed.revision = revision
         confirmed.freshness.renew(at)
         evidence.values.filter { it.revision >= revision }.forEach { it.freshness.renew(at) }
--- a/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
@@ -35,8 +35,12 @@
     }
 }
 
-/** A response with its complete body. */
-class HttpReply(val status: Int, val body: ByteArray) {
+/** A response with its complete body; names of [headers] are in lower case. */
+class HttpReply(
+    val status: Int,
+    val body: ByteArray,
+    val headers: Map<String, String> = emptyMap()
+) {
     /** Returns the body as UTF-8 text. */
     fun text(): String = body.decodeToString()
 
--- a/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
@@ -9,20 +9,28 @@
 /** A stored object; [text] is its content as JSON, or null when it cannot be read. */
 data class StoredObject(val name: String, val revision: Long, val text: String?)
 
-/** All objects of a kind as of [storeRevision]. */
-class ObjectListing(val objects: List<StoredObject>, val storeRevision: Long)
+/**
+ * All objects of a kind as of [storeRevision]. The [era] rises each time that the store returns from
+ * an older copy of itself, with a lower revision; null if the store does not name it.
+ */
+class ObjectListing(
+    val objects: List<StoredObject>,
+    val storeRevision: Long,
+    val era: Long? = null
+)
 
 /** Update or removal of one object. */
 class ObjectChange(val stored: StoredObject, val isRemoved: Boolean)
 
 /**
  * The newest change of each object up to [storeRevision]; empty when the wait timed out.
- * [supersededCount] older changes are left out.
+ * [supersededCount] older changes are left out. The [era] is that of the [storeRevision].
  */
 class ObjectChanges(
     val changes: List<ObjectChange>,
     val storeRevision: Long,
-    val supersededCount: Int = 0
+    val supersededCount: Int = 0,
+    val era: Long? = null
 )
 
 /** Reason why a call to the store failed. */
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
@@ -76,6 +76,14 @@
                 fleet.replaceAll(emptyList(), 2850)
                 fleet.expire(3000) shouldBe listOf(EndpointId("e1"))
             }
+            it("is kept for the grace period if an older copy of the store lacks it") {
+                val fleet = Fleet(stabilityMillis = 3000)
+                fleet.put(record("e1"), 0)
+                fleet.onStoreRestored(StoreOutage(900, 900, 1000))
+                fleet.replaceAll(emptyList(), 1000, isRestored = true)
+                fleet.expire(2999) shouldBe emptyList()
+                fleet.expire(3000) shouldBe listOf(EndpointId("e1"))
+            }
             it("is kept when it is listed again within the grace period") {
                 val fleet = Fleet(stabilityMillis = 3000)
                 fleet.put(record("e1"), 0)
@@ -86,6 +94,21 @@
                 fleet.of(writers).size shouldBe 1
             }
         }
+        describe("a draining endpoint that an older copy of the store lists as ready") {
+            it("stays draining until the store says otherwise or it starts again") {
+                val fleet = Fleet()
+                fun isReady() = fleet.find(EndpointId("e1"))!!.record.isReady
+                fleet.put(record("e1", isReady = false), 0)
+                fleet.replaceAll(listOf(record("e1")), 100, isRestored = true)
+                isReady() shouldBe false
+                fleet.replaceAll(listOf(record("e1")), 200)
+                isReady() shouldBe true
+                fleet.put(record("e1", isReady = false), 300)
+                val restarted = record("e1").copy(startedAtMillis = 7)
+                fleet.replaceAll(listOf(restarted), 400, isRestored = true)
+                isReady() shouldBe true
+            }
+        }
         describe("an endpoint that is listed again") {
             val id = EndpointId("e0")
             fun relisted(startedAtMillis: Long) = Fleet().run {
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/StoreFreshnessTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/StoreFreshnessTest.kt
@@ -31,6 +31,15 @@
                 freshness.areAllWithin(200, at(3100)) shouldBe true
             }
         }
+        describe("a kind that is known in another era of the store") {
+            it("is not confirmed by a response with a lower revision, but checked") {
+                val freshness = freshness()
+                freshness.onConfirmed(ObjectKind.CONFIGURATION, 4, at(3000), era = 2)
+                freshness[ObjectKind.EVACUATIONS].ageMillis(at(3000)) shouldBe 2990
+                freshness.takeDueForCheck(at(3000)) shouldBe
+                    listOf(ObjectKind.ENDPOINTS, ObjectKind.EVACUATIONS)
+            }
+        }
         describe("a kind that may have changed since it was confirmed") {
             // Guards against acting on an old list while a watch waits for a response that is lost.
             it("is checked once in half of its limit") {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -65,6 +65,7 @@
         WeightVersionListener(log, systemClocks, pauses, listingAge) { target, since, age ->
             state.versions.onTargetVersion(target.model, target.version, since, age)
         }
+    private val evacuations = EvacuationListener(state, log)
     private val watches = mutableListOf<Job>()
     private val watchHealth = WatchHealth(state.storeFreshness)
     private val watchers = EnumMap<ObjectKind, ObjectWatcher>(ObjectKind::class.java)
@@ -141,7 +142,7 @@
         }
         val pacing = WatchPacing(BATCH_DELAY_MILLIS, backoffMaxMillis = BACKOFF_MAX_MILLIS)
         watches += startWatch(ObjectKind.ENDPOINTS, WATCH_MILLIS, endpoints, pacing)
-        watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, EvacuationListener(state, log))
+        watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, evacuations)
         watches += startWatch(
             ObjectKind.WEIGHT_VERSIONS,
             VERSION_WATCH_MILLIS,
@@ -166,6 +167,7 @@
 
     private fun checkFreshness() {
         val now = systemClocks.now()
+        evacuations.expire(now.monotonicMillis)
         state.storeFreshness.takeDueForCheck(now).forEach { kind ->
             log.event(EventCode.WATCH_CHECKED) {
                 put("kind", kind.name)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -19,6 +19,7 @@
 import org.toucanspur.core.gateway.RetryBudgetLimits
 import org.toucanspur.core.gateway.RetryBudgetShare
 import org.toucanspur.core.gateway.StoreFreshness
+import org.toucanspur.core.gateway.StoreRestores
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.VersionGate
 import org.toucanspur.core.platform.ObjectKind
@@ -130,6 +131,12 @@
     /** Availability zones that receive no requests. */
     val evacuatedZones = mutableSetOf<ZoneId>()
 
+    /** Evacuations that an older copy of the store lacks, and until when they are kept. */
+    val unconfirmedEvacuations = HashMap<ZoneId, Long>()
+
+    /** Kinds whose next listing is the first one from an older copy of the store. */
+    val restores = StoreRestores()
+
     /** Selects an endpoint for each request. */
     val placer = RequestPlacer(
         fleet,
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -40,14 +40,17 @@
      */
     fun onListing(objects: List<StoredObject>, unseenSince: ClockReading)
 
+    /** Called before each listing with the [era] of the store to which it belongs. */
+    fun onEra(era: Long) = Unit
+
     /** Called with the changes since the previous listing or change, made after [unseenSince]. */
     fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading)
 
     /**
-     * Called when all changes up to [revision] have been delivered, among them all that were
-     * acknowledged before [at].
+     * Called when all changes up to [revision] of the [era] have been delivered, among them all
+     * that were acknowledged before [at].
      */
-    fun onUpToDate(revision: Long, at: ClockReading) = Unit
+    fun onUpToDate(revision: Long, at: ClockReading, era: Long?) = Unit
 
     /** Called once per outage when the store becomes unavailable. */
     fun onStoreUnavailable(reason: String) = Unit
@@ -70,7 +73,8 @@
 
 /**
  * Watches objects of [kind]; each watch call waits for up to [waitMillis], with [pacing] after
- * changes. A watch that replaces another one continues its [progress].
+ * changes. A watch that replaces another one continues its [progress]. After a change of the
+ * store's era the objects are listed again.
  */
 class ObjectWatcher(
     private val feed: ObjectFeed,
@@ -85,6 +89,7 @@
     private var revision: Long? = null
     private var backoffMillis = BACKOFF_MIN_MILLIS
     private var outage: StoreOutage? = null
+    private var era: Long? = null
     private var newestObjectRevision = 0L
     private var changedMillis: Long? = null
     private var isBurst = false
@@ -123,6 +128,9 @@
     private suspend fun list(): FeedFailure? {
         val at = clocks.now()
         val listing = feed.list(kind).getOrElse { return it }
+        if (listing.era != era) newestObjectRevision = 0
+        era = listing.era
+        listing.era?.let(listener::onEra)
         listener.onListing(listing.objects, progress.unlistedSince(at))
         revision = listing.storeRevision
         val isChanged = hasNewer(listing.objects)
@@ -147,6 +155,11 @@
             untilCheck { feed.watch(kind, afterRevision, waitMillis) }
         } ?: return FeedFailure.Unavailable("watch timed out")
         val changes = result.getOrElse { return it } ?: return null
+        if (changes.era != era) {
+            // The store gives revisions out again, so the changes are not those since the listing.
+            revision = null
+            return null
+        }
         revision = maxOf(afterRevision, changes.storeRevision)
         if (changes.changes.isEmpty()) {
             onUpToDate(confirmedAt(at, waitMillis))
@@ -191,7 +204,7 @@
 
     private fun onUpToDate(at: ClockReading) {
         progress.onUpToDate(at)
-        listener.onUpToDate(checkNotNull(revision), at)
+        listener.onUpToDate(checkNotNull(revision), at, era)
     }
 
     // A watch without changes lasts for its whole wait; if it ends earlier, the store ended it and
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchHealth.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchHealth.kt
@@ -24,9 +24,9 @@
     /** Returns [listener], which also records when the watch of [kind] is up to date, and how far. */
     fun observe(kind: ObjectKind, listener: ObjectWatchListener): ObjectWatchListener =
         object : ObjectWatchListener by listener {
-            override fun onUpToDate(revision: Long, at: ClockReading) {
-                listener.onUpToDate(revision, at)
-                freshness.onConfirmed(kind, revision, at)
+            override fun onUpToDate(revision: Long, at: ClockReading, era: Long?) {
+                listener.onUpToDate(revision, at, era)
+                freshness.onConfirmed(kind, revision, at, era)
                 failed -= kind
             }
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -88,19 +88,30 @@
     }
 }
 
-/** Maintains the list of endpoints. */
+/**
+ * Maintains the list of endpoints. An older copy of the store may list an endpoint as ready that has
+ * said that it is leaving, and may lack endpoints that write their records again soon.
+ */
 class EndpointListener(
     private val state: GatewayState,
     log: DecisionLog,
     private val onChanged: () -> Unit
 ) : LoggingWatchListener(ObjectKind.ENDPOINTS, log) {
     override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) {
+        val now = monotonicMillis()
         state.unreadableRecords.keys.retainAll(objects.map { it.name }.toSet())
-        state.fleet.replaceAll(objects.mapNotNull(::decode), monotonicMillis())
+        val isRestored = state.restores.takeRestored(ObjectKind.ENDPOINTS)
+        if (isRestored) {
+            val knownMillis = state.storeFreshness.lastRespondedAt?.monotonicMillis ?: now
+            state.fleet.onStoreRestored(StoreOutage(knownMillis, knownMillis, now))
+        }
+        state.fleet.replaceAll(objects.mapNotNull(::decode), now, isRestored)
         log.event(EventCode.ENDPOINT_LISTED) { put("listed", objects.size) }
         onChanged()
     }
 
+    override fun onEra(era: Long) = state.restores.onEra(ObjectKind.ENDPOINTS, era)
+
     override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) {
         changes.forEach { if (it.isRemoved) remove(it.stored.name) else upsert(it.stored) }
         onChanged()
@@ -166,10 +177,25 @@
     override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) {
         state.listedKinds += ObjectKind.EVACUATIONS
         val listed = objects.map { ZoneId(it.name) }.toSet()
-        (state.evacuatedZones - listed).forEach(::reinstate)
+        val missing = state.evacuatedZones - listed
+        if (state.restores.takeRestored(ObjectKind.EVACUATIONS)) {
+            val untilMillis = monotonicMillis() + REWRITE_MILLIS
+            missing.forEach { state.unconfirmedEvacuations[it] = untilMillis }
+        } else {
+            missing.filterNot(state.unconfirmedEvacuations::containsKey).forEach(::reinstate)
+        }
+        listed.forEach(state.unconfirmedEvacuations::remove)
         (listed - state.evacuatedZones).forEach(::evacuate)
     }
 
+    override fun onEra(era: Long) = state.restores.onEra(ObjectKind.EVACUATIONS, era)
+
+    /** Takes back the evacuations that an older copy of the store lacked and that were not renewed. */
+    fun expire(nowMillis: Long) {
+        val due = state.unconfirmedEvacuations.filterValues { nowMillis >= it }.keys.toList()
+        due.forEach(::reinstate)
+    }
+
     override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) =
         changes.forEach {
             val zone = ZoneId(it.stored.name)
@@ -177,16 +203,23 @@
         }
 
     private fun evacuate(zone: ZoneId) {
+        state.unconfirmedEvacuations -= zone
         if (state.evacuatedZones.add(zone)) {
             log.event(EventCode.ZONE_EVACUATED) { put("zone", zone.value) }
         }
     }
 
     private fun reinstate(zone: ZoneId) {
+        state.unconfirmedEvacuations -= zone
         if (state.evacuatedZones.remove(zone)) {
             log.event(EventCode.ZONE_RESTORED) { put("zone", zone.value) }
         }
     }
+
+    private companion object {
+        // The operator writes again what an older copy of the store lacks.
+        const val REWRITE_MILLIS = 2000L
+    }
 }
 
 /**
@@ -214,7 +247,7 @@
         changes.filterNot { it.isRemoved }
             .forEach { adopt(it.stored, unseenSince, VersionDiscovery.NEW) }
 
-    override fun onUpToDate(revision: Long, at: ClockReading) {
+    override fun onUpToDate(revision: Long, at: ClockReading, era: Long?) {
         upToDateAt = at
     }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -147,7 +147,8 @@
                 }
                 val body = ByteBufUtil.getBytes(response.content())
                 val isReusable = call.mayReuseConnection && HttpUtil.isKeepAlive(response)
-                finish(Ok(HttpReply(response.status().code(), body)), isReusable)
+                val headers = response.headers().associate { it.key.lowercase() to it.value }
+                finish(Ok(HttpReply(response.status().code(), body, headers)), isReusable)
             }
 
             override fun channelInactive(context: ChannelHandlerContext) {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -34,6 +34,9 @@
     ObjectFeed {
     private val steps = ArrayDeque(steps.toList())
     val calls = mutableListOf<String>()
+
+    /** Eras of the listings, in order; the last one repeats. */
+    var eras = listOf<Long?>(null)
     val waitsMillis = mutableListOf<Long>()
 
     override suspend fun list(
@@ -41,7 +44,9 @@
         isStaleAllowed: Boolean
     ): Result<ObjectListing, FeedFailure> {
         calls += "list"
-        return Ok(ObjectListing(listOf(StoredObject("a", 1, "{}")), 5))
+        val era = eras.first()
+        if (eras.size > 1) eras = eras.drop(1)
+        return Ok(ObjectListing(listOf(StoredObject("a", 1, "{}")), 5, era))
     }
 
     override suspend fun watch(
@@ -133,7 +138,7 @@
         changedSinceMillis = unseenSince.monotonicMillis
     }
 
-    override fun onUpToDate(revision: Long, at: ClockReading) {
+    override fun onUpToDate(revision: Long, at: ClockReading, era: Long?) {
         upToDateAtMillis = at.monotonicMillis
     }
 
@@ -207,6 +212,24 @@
                     feed.calls shouldBe listOf("list", "watch 5", "list", "watch 5")
                 }
             }
+            // Guards against missing what a store that returned from an older copy has at revisions
+            // that it gave out before: no error shows that, once its counter has passed them.
+            it("lists again when a response is of another era, and drops its changes") {
+                runTest {
+                    val restored: suspend () -> Result<ObjectChanges, FeedFailure> = {
+                        val change = ObjectChange(StoredObject("b", 9, "{}"), isRemoved = false)
+                        Ok(ObjectChanges(listOf(change), 9, era = 2))
+                    }
+                    val settled: suspend () -> Result<ObjectChanges, FeedFailure> = {
+                        delay(WAIT_MILLIS)
+                        Ok(ObjectChanges(emptyList(), 5, era = 2))
+                    }
+                    val feed = ScriptedFeed(restored, settled).apply { eras = listOf(1, 2) }
+                    val listener = runWatcher(feed, millis = 500)
+                    feed.calls shouldBe listOf("list", "watch 5", "list", "watch 5")
+                    listener.callbacks shouldBe listOf("listing 1", "listing 1")
+                }
+            }
             it("continues from its revision after an outage, which it reports once") {
                 runTest {
                     val change = ObjectChange(StoredObject("b", 6, "{}"), isRemoved = false)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/WeightVersionListenerTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/WeightVersionListenerTest.kt
@@ -43,7 +43,7 @@
             it("states the revision and the time since the watch was last up to date") {
                 val fixture = Fixture()
                 fixture.list(version = 1, revision = 7)
-                fixture.listener.onUpToDate(1, fixture.now)
+                fixture.listener.onUpToDate(1, fixture.now, null)
                 fixture.now = ClockReading(200, 50_200)
                 fixture.change(version = 2, revision = 9)
                 fixture.nextVersionEvent().long("upToDateAgoMillis") shouldBe -1
@@ -63,7 +63,7 @@
             it("states a suspension that ended with the message that reports the version") {
                 val fixture = Fixture()
                 fixture.pauses.recent()
-                fixture.listener.onUpToDate(1, fixture.now)
+                fixture.listener.onUpToDate(1, fixture.now, null)
                 fixture.now = ClockReading(50, 56_050)
                 fixture.change(version = 2, revision = 9)
                 val event = fixture.nextVersionEvent()
