--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Freshness.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Freshness.kt
@@ -20,8 +20,8 @@
 
 /**
  * Tracks when information was last confirmed to be current; it is fresh while that confirmation is
- * younger than [limitMillis]. API keys are accepted only while the configuration is fresh, so that a
- * revoked key stops working everywhere within the revocation bound, even at an entry that is
+ * younger than [limitMillis]. API keys are accepted only while the configuration is fresh, so that
+ * a revoked key stops working everywhere within the revocation bound, even at an entry that is
  * partitioned from the store.
  */
 class Freshness(private val limitMillis: Long) {
@@ -41,8 +41,8 @@
 
     companion object {
         /**
-         * Safety margin subtracted from the bound on a revocation: a watch may be silent for one second
-         * when the store discards its history, and a request takes up to 300 ms to reach an
+         * Safety margin subtracted from the bound on a revocation: a watch may be silent for one
+         * second when the store discards its history, and a request takes up to 300 ms to reach an
          * endpoint.
          */
         const val MARGIN_MILLIS = 1300L
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/StoreFreshness.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/StoreFreshness.kt
@@ -1,6 +1,6 @@
 /*
  * How old the evidence of an entry about each kind of object is. The store has one revision counter
- * for all kinds, so a response about one kind shows whether the other kinds may have changed: a kind
+ * for all kinds, so a response about one kind shows whether the other kinds may have changed: one
  * that is known up to the revision of the response is still current.
  *
  * A watch that waits on a connection that has gone silent gets no changes. It is noticed when
@@ -41,10 +41,9 @@
     }
 
     /** Whether no kind was confirmed longer than [maxAgeMillis] before [now]. */
-    fun areAllWithin(maxAgeMillis: Long, now: ClockReading): Boolean =
-        evidence.values.all { kind ->
-            kind.freshness.ageMillis(now).let { it != null && it < maxAgeMillis }
-        }
+    fun areAllWithin(maxAgeMillis: Long, now: ClockReading): Boolean = evidence.values.all { kind ->
+        kind.freshness.ageMillis(now).let { it != null && it < maxAgeMillis }
+    }
 
     /**
      * Returns the kinds that may have changed without their watch noticing: the store has responded
--- a/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
@@ -11,8 +11,8 @@
  * for calls that may safely be sent twice, as happens when the server has closed the reused
  * connection. [isStillValid] is for calls that depend on an earlier check: it is evaluated
  * immediately before the request is written, and nothing is sent once it is false. A response with
- * a body of more than [responseMaxBytes] is a failure, as is a connection that is not established in
- * [connectTimeoutMillis].
+ * a body of more than [responseMaxBytes] is a failure, as is a connection that is not established
+ * in [connectTimeoutMillis].
  */
 class HttpCall(
     val address: String,
--- a/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
@@ -10,14 +10,10 @@
 data class StoredObject(val name: String, val revision: Long, val text: String?)
 
 /**
- * All objects of a kind as of [storeRevision]. The [era] rises each time that the store returns from
- * an older copy of itself, with a lower revision; null if the store does not name it.
+ * All objects of a kind as of [storeRevision]. The [era] rises each time that the store returns
+ * from an older copy of itself, with a lower revision; null if the store does not name it.
  */
-class ObjectListing(
-    val objects: List<StoredObject>,
-    val storeRevision: Long,
-    val era: Long? = null
-)
+class ObjectListing(val objects: List<StoredObject>, val storeRevision: Long, val era: Long? = null)
 
 /** Update or removal of one object. */
 class ObjectChange(val stored: StoredObject, val isRemoved: Boolean)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -471,8 +471,8 @@
         send(call, placement)
     }
 
-    // An endpoint without any sign of life is not expected to respond in time. Its callers are served
-    // by another one, or learn at once that they should try again.
+    // An endpoint without any sign of life is not expected to respond in time. Its callers are
+    // served by another one, or learn at once that they should try again.
     private fun leaveIfSilent(call: Call, untilMillis: Long) {
         val endpoint = call.endpoint ?: return
         val silentMillis = untilMillis - call.lastProgressMillis
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchHealth.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchHealth.kt
@@ -21,7 +21,7 @@
         failed += kind
     }
 
-    /** Returns [listener], which also records when the watch of [kind] is up to date, and how far. */
+    /** Returns [listener], which also records how far the watch of [kind] is up to date. */
     fun observe(kind: ObjectKind, listener: ObjectWatchListener): ObjectWatchListener =
         object : ObjectWatchListener by listener {
             override fun onUpToDate(revision: Long, at: ClockReading, era: Long?) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -89,8 +89,8 @@
 }
 
 /**
- * Maintains the list of endpoints. An older copy of the store may list an endpoint as ready that has
- * said that it is leaving, and may lack endpoints that write their records again soon.
+ * Maintains the list of endpoints. An older copy of the store may list an endpoint as ready that
+ * has said that it is leaving, and may lack endpoints that write their records again soon.
  */
 class EndpointListener(
     private val state: GatewayState,
@@ -190,7 +190,7 @@
 
     override fun onEra(era: Long) = state.restores.onEra(ObjectKind.EVACUATIONS, era)
 
-    /** Takes back the evacuations that an older copy of the store lacked and that were not renewed. */
+    /** Ends the evacuations that an older copy of the store lacked and that were not renewed. */
     fun expire(nowMillis: Long) {
         val due = state.unconfirmedEvacuations.filterValues { nowMillis >= it }.keys.toList()
         due.forEach(::reinstate)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/WatchHealthTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/WatchHealthTest.kt
@@ -21,9 +21,15 @@
                 val health = WatchHealth(StoreFreshness(emptyMap()))
                 health.areAllFollowing shouldBe true
                 health.onFailed(ObjectKind.ENDPOINTS)
-                health.observe(ObjectKind.EVACUATIONS, NoListener).onUpToDate(1, ClockReading(1, 1), null)
+                health.observe(
+                    ObjectKind.EVACUATIONS,
+                    NoListener
+                ).onUpToDate(1, ClockReading(1, 1), null)
                 health.areAllFollowing shouldBe false
-                health.observe(ObjectKind.ENDPOINTS, NoListener).onUpToDate(1, ClockReading(1, 1), null)
+                health.observe(
+                    ObjectKind.ENDPOINTS,
+                    NoListener
+                ).onUpToDate(1, ClockReading(1, 1), null)
                 health.areAllFollowing shouldBe true
             }
         }
