Watch the configuration again after a failure, not list it

The listing of the configuration after each failed call, added with the pacing, costs a whole configuration of each process after each lost response, though mostly nothing has changed. A process that was listing when the call failed goes on listing; any other one continues its watch. Found in the review of the change; not measured.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -228,8 +228,6 @@
         }
         val now = clocks.now()
         progress.onFailure(start, now)
-        // A watch would return all that has changed meanwhile.
-        isBurst = pacing.burstDelayMillis != null
         // A call that ended late was not cut off: the store may have been silent all the time.
         val dueMillis = start.monotonicMillis + callWaitMillis + RESPONSE_MAX_MILLIS
         val isSilent = now.monotonicMillis > dueMillis
