Count the grace after a restore from the last response of the era before

Another kind may have been listed in the new era before the endpoints, so that the last response of all was of the new era and the grace could end later than the bound on leaving endpoints allows. An outage that was seen before the restore keeps its own, later end.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -384,17 +384,24 @@
      * requests applies again once the store has been available for the stability time.
      */
     fun onStoreRecovered(outage: StoreOutage) {
-        if (outage.lengthMillis > RECORD_EXPIRY_MILLIS) onStoreRestored(outage)
+        if (outage.lengthMillis > RECORD_EXPIRY_MILLIS) {
+            keepsUnlistedUntilMillis = graceEndMillis(outage)
+        }
     }
 
-    /** Records that the store has returned from an older copy, which may lack running endpoints. */
+    /**
+     * Records that the store has returned from an older copy, which may lack running endpoints,
+     * within [outage], whatever its length.
+     */
     fun onStoreRestored(outage: StoreOutage) {
-        keepsUnlistedUntilMillis = minOf(
-            outage.endMillis + UNLISTED_GRACE_MILLIS,
-            outage.knownUntilMillis + stabilityMillis - TRANSIT_MILLIS
-        )
+        keepsUnlistedUntilMillis = maxOf(keepsUnlistedUntilMillis, graceEndMillis(outage))
     }
 
+    private fun graceEndMillis(outage: StoreOutage): Long = minOf(
+        outage.endMillis + UNLISTED_GRACE_MILLIS,
+        outage.knownUntilMillis + stabilityMillis - TRANSIT_MILLIS
+    )
+
     /** Adds or updates a listed endpoint. */
     fun put(record: EndpointRecord, nowMillis: Long) {
         unlistedUntilMillis.remove(record.id)
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/StoreFreshness.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/StoreFreshness.kt
@@ -18,12 +18,14 @@
     private val evidence = limitsMillis.mapValues { KindEvidence(it.value) }
     private var respondedAt: ClockReading? = null
     private var newestEra: Long? = null
+    private var previousEraRespondedAt: ClockReading? = null
 
     /** Freshness of [kind]. */
     operator fun get(kind: ObjectKind): Freshness = evidence.getValue(kind).freshness
 
-    /** When the store last responded; null before its first response. */
-    val lastRespondedAt: ClockReading? get() = respondedAt
+    /** When the store last responded in an era before [era]; null if it did not. */
+    fun lastRespondedBefore(era: Long): ClockReading? =
+        if (newestEra == era) previousEraRespondedAt else respondedAt
 
     /**
      * Records that [kind] is known up to [revision] of [era], which the store had at [at] or later.
@@ -31,8 +33,11 @@
      */
     fun onConfirmed(kind: ObjectKind, revision: Long, at: ClockReading, era: Long? = null) {
         val confirmed = evidence[kind] ?: return
-        if (era != newestEra) evidence.values.forEach { it.revision = Long.MIN_VALUE }
-        newestEra = era
+        if (era != newestEra) {
+            evidence.values.forEach { it.revision = Long.MIN_VALUE }
+            previousEraRespondedAt = respondedAt
+            newestEra = era
+        }
         confirmed.revision = revision
         confirmed.freshness.renew(at)
         evidence.values.filter { it.revision >= revision }.forEach { it.freshness.renew(at) }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
@@ -80,6 +80,7 @@
                 val fleet = Fleet(stabilityMillis = 3000)
                 fleet.put(record("e1"), 0)
                 fleet.onStoreRestored(StoreOutage(900, 900, 1000))
+                fleet.onStoreRestored(StoreOutage(0, 0, 1000))
                 fleet.replaceAll(emptyList(), 1000, isRestored = true)
                 fleet.expire(2999) shouldBe emptyList()
                 fleet.expire(3000) shouldBe listOf(EndpointId("e1"))
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/StoreFreshnessTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/StoreFreshnessTest.kt
@@ -40,6 +40,16 @@
                     listOf(ObjectKind.ENDPOINTS, ObjectKind.EVACUATIONS)
             }
         }
+        describe("the last response in an era before") {
+            it("is the last one of all kinds, also once the next era is known") {
+                val freshness = StoreFreshness(mapOf(ObjectKind.ENDPOINTS to 2000L))
+                freshness.lastRespondedBefore(1) shouldBe null
+                freshness.onConfirmed(ObjectKind.ENDPOINTS, 5, at(100), era = 1)
+                freshness.lastRespondedBefore(2) shouldBe at(100)
+                freshness.onConfirmed(ObjectKind.ENDPOINTS, 3, at(900), era = 2)
+                freshness.lastRespondedBefore(2) shouldBe at(100)
+            }
+        }
         describe("a kind that may have changed since it was confirmed") {
             // Guards against acting on an old list while a watch waits for a response that is lost.
             it("is checked once in half of its limit") {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchListeners.kt
@@ -97,20 +97,25 @@
     log: DecisionLog,
     private val onChanged: () -> Unit
 ) : LoggingWatchListener(ObjectKind.ENDPOINTS, log) {
+    private var previousEraMillis = 0L
+
     override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) {
         val now = monotonicMillis()
         state.unreadableRecords.keys.retainAll(objects.map { it.name }.toSet())
         val isRestored = state.restores.takeRestored(ObjectKind.ENDPOINTS)
         if (isRestored) {
-            val knownMillis = state.storeFreshness.lastRespondedAt?.monotonicMillis ?: now
-            state.fleet.onStoreRestored(StoreOutage(knownMillis, knownMillis, now))
+            state.fleet.onStoreRestored(StoreOutage(previousEraMillis, previousEraMillis, now))
         }
         state.fleet.replaceAll(objects.mapNotNull(::decode), now, isRestored)
         log.event(EventCode.ENDPOINT_LISTED) { put("listed", objects.size) }
         onChanged()
     }
 
-    override fun onEra(era: Long) = state.restores.onEra(ObjectKind.ENDPOINTS, era)
+    override fun onEra(era: Long) {
+        state.restores.onEra(ObjectKind.ENDPOINTS, era)
+        val previous = state.storeFreshness.lastRespondedBefore(era)
+        previousEraMillis = previous?.monotonicMillis ?: monotonicMillis()
+    }
 
     override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) {
         changes.forEach { if (it.isRemoved) remove(it.stored.name) else upsert(it.stored) }
