Wait in a test of the event loop until its task has reported

The test before it cancels its repeating task after the third run has begun, and that run, on the thread of the loop, may report its failure after the next test has cleared the list. The test now waits for a task that the loop runs after it; it checks the same as before. The cause is read from the code; the failure was not produced a second time.

--- a/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyEventLoopTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyEventLoopTest.kt
@@ -24,6 +24,8 @@
                 }
                 runs.await(WAIT_SECONDS, TimeUnit.SECONDS) shouldBe true
                 task.cancel(false)
+                // The last run may still be reporting its failure, which the next test would get.
+                loop.executor.submit {}.get()
                 nextFailure() shouldBe "timer: deep"
             }
             it("is reported and runs again if it is supervised") {
