Finish reads of the store that make progress

Cause: an entry gave up a connection to the store after 300 ms and a response 0.8 to 1.8 s after the start of its call, and began anew. On a link with a longer queue, no read ended; a check of a watch ended it too, though it was arriving; and a watch after a failure fetched all versions since the last one known. The class: a call is judged by a fixed time, not by what arrives.

Checks do not end a call that is arriving or ends soon. A watch whose changes are much larger than the known objects is replaced by a listing. E203 names the bytes that had arrived.

The test of a check waits 10 s in place of 1 s, because a call of 1 s now ends by itself sooner than a check would.

--- a/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
@@ -12,7 +12,10 @@
  * connection. [isStillValid] is for calls that depend on an earlier check: it is evaluated
  * immediately before the request is written, and nothing is sent once it is false. A response with
  * a body of more than [responseMaxBytes] is a failure, as is a connection that is not established
- * in [connectTimeoutMillis].
+ * in [connectTimeoutMillis]. A response that is not complete in [timeoutMillis] is a failure too,
+ * unless [transferLimits] allow it more time. [onBytes] is called when bytes of it have arrived.
+ * While there is no connection, a further one is requested every [connectRetryMillis], and the
+ * first one that is established is used.
  */
 class HttpCall(
     val address: String,
@@ -24,7 +27,10 @@
     val mayReuseConnection: Boolean = false,
     val isStillValid: () -> Boolean = { true },
     val responseMaxBytes: Int = RESPONSE_MAX_BYTES,
-    val connectTimeoutMillis: Long = CONNECT_TIMEOUT_MILLIS
+    val connectTimeoutMillis: Long = CONNECT_TIMEOUT_MILLIS,
+    val connectRetryMillis: Long? = null,
+    val transferLimits: TransferLimits? = null,
+    val onBytes: () -> Unit = {}
 ) {
     private companion object {
         // A listing of the store is about 1 MB, and so is a configuration.
@@ -71,6 +77,11 @@
     data class NoResponse(val reason: String) : HttpFailure {
         override val message = "no response ($reason)"
     }
+
+    /** The call was sent, and its response is larger than the call allows. */
+    data class TooLarge(val maxBytes: Int) : HttpFailure {
+        override val message = "response has more than $maxBytes bytes"
+    }
 }
 
 /** Makes HTTP calls. */
--- a/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
@@ -39,6 +39,11 @@
         override val message = "revision has expired from the history"
     }
 
+    /** There are more changes than the call allows; a listing is smaller. */
+    data object TooManyChanges : FeedFailure {
+        override val message = "changes are larger than allowed"
+    }
+
     /** The store does not respond or rejects the call. */
     data class Unavailable(override val message: String) : FeedFailure
 }
@@ -46,18 +51,30 @@
 /** Kinds of objects that the system watches. */
 enum class ObjectKind { CONFIGURATION, ENDPOINTS, EVACUATIONS, WEIGHT_VERSIONS, ENTRIES }
 
+/**
+ * Watch of [kind]: waits up to [waitMillis] for changes after [afterRevision]. Each change has the
+ * whole object; the call fails if all together have more than about [maxBytes]. [onBytes] is called
+ * when bytes of the response have arrived.
+ */
+class WatchCall(
+    val kind: ObjectKind,
+    val afterRevision: Long,
+    val waitMillis: Long,
+    val maxBytes: Int,
+    val onBytes: () -> Unit = {}
+)
+
 /** Read access to the platform's store. */
 interface ObjectFeed {
+    /** Time that a response may take from its first byte on, while bytes arrive. */
+    val transferMaxMillis: Long get() = 0
+
     /** Lists a kind; with [isStaleAllowed] the listing is cheaper but may be seconds old. */
     suspend fun list(
         kind: ObjectKind,
         isStaleAllowed: Boolean = false
     ): Result<ObjectListing, FeedFailure>
 
-    /** Waits up to [waitMillis] for changes after [afterRevision]. */
-    suspend fun watch(
-        kind: ObjectKind,
-        afterRevision: Long,
-        waitMillis: Long
-    ): Result<ObjectChanges, FeedFailure>
+    /** Waits for changes as [call] says. */
+    suspend fun watch(call: WatchCall): Result<ObjectChanges, FeedFailure>
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
@@ -184,7 +184,7 @@
 
     private fun mayBeginLater(reply: Result<OrderReply, WeightFailure>): Boolean {
         val failure = reply.getError() as? WeightFailure.Transport ?: return false
-        return failure.cause is HttpFailure.NoResponse
+        return failure.cause is HttpFailure.NoResponse || failure.cause is HttpFailure.TooLarge
     }
 
     // Returns null if a piece cannot be staged, or if the verification takes so long that the first
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -7,7 +7,8 @@
  * therefore does not wait, and shows whether the store responds.
  *
  * A watch returns each change with the whole object. While a large object changes more often than
- * its pacing allows, the objects are listed instead, which returns only the newest version.
+ * its pacing allows, and when the changes are much larger than the objects, the objects are listed
+ * instead, which returns only the newest version.
  */
 package org.toucanspur.daemon.gateway
 
@@ -31,6 +32,7 @@
 import org.toucanspur.core.platform.ObjectFeed
 import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.core.platform.StoredObject
+import org.toucanspur.core.platform.WatchCall
 
 /** Receives the results of an [ObjectWatcher]. */
 interface ObjectWatchListener {
@@ -91,13 +93,18 @@
     private var outage: StoreOutage? = null
     private var era: Long? = null
     private var newestObjectRevision = 0L
+    private val sizes = HashMap<String, Int>()
     private var changedMillis: Long? = null
     private var isBurst = false
     private var pauseMillis = 0L
     private val checks = Channel<Unit>(Channel.CONFLATED)
     private var isCheckDue = false
+    private var isArriving = false
 
-    /** Ends the wait of the current call; the next one, on a new connection, does not wait. */
+    /**
+     * Ends the wait of the current call; the next one, on a new connection, does not wait. A call
+     * whose response arrives, or that ends soon by itself, is not ended.
+     */
     fun check() {
         checks.trySend(Unit)
     }
@@ -133,9 +140,11 @@
         listing.era?.let(listener::onEra)
         listener.onListing(listing.objects, progress.unlistedSince(at))
         revision = listing.storeRevision
+        sizes.clear()
+        listing.objects.forEach(::recordSize)
         val isChanged = hasNewer(listing.objects)
         isBurst = isBurst && isChanged
-        if (isBurst) pauseMillis = pacing.burstDelayMillis ?: 0
+        if (isBurst) pauseMillis = burstPauseMillis(at)
         onUpToDate(at)
         return null
     }
@@ -151,8 +160,15 @@
     private suspend fun watch(afterRevision: Long, waitMillis: Long): FeedFailure? {
         val at = clocks.now()
         // Limits the whole call by this VM's own clock too, which may have been paused.
-        val result = withTimeoutOrNull(waitMillis + WATCH_TIMEOUT_MARGIN_MILLIS) {
-            untilCheck { feed.watch(kind, afterRevision, waitMillis) }
+        val endsSoonMillis = at.monotonicMillis + waitMillis - CHECK_LEAD_MILLIS
+        val limitMillis = waitMillis + WATCH_TIMEOUT_MARGIN_MILLIS + feed.transferMaxMillis
+        val result = withTimeoutOrNull(limitMillis) {
+            untilCheck(endsSoonMillis) {
+                val call = WatchCall(kind, afterRevision, waitMillis, changesMaxBytes()) {
+                    isArriving = true
+                }
+                feed.watch(call)
+            }
         } ?: return FeedFailure.Unavailable("watch timed out")
         val changes = result.getOrElse { return it } ?: return null
         if (changes.era != era) {
@@ -165,17 +181,20 @@
             onUpToDate(confirmedAt(at, waitMillis))
         } else {
             val now = clocks.now()
+            changes.changes.forEach { recordSize(it.stored) }
             listener.onChanges(changes.changes, progress.unseenSince(at, now))
             onUpToDate(at)
-            pace(changes, now.monotonicMillis)
+            pace(changes, at, now.monotonicMillis)
         }
         return null
     }
 
-    // Returns no changes if a check is requested while [call] waits.
+    // Returns no changes if a check is requested while [call] waits, until [endsSoonMillis].
     private suspend fun untilCheck(
+        endsSoonMillis: Long,
         call: suspend () -> Result<ObjectChanges, FeedFailure>
     ): Result<ObjectChanges?, FeedFailure> = coroutineScope {
+        isArriving = false
         val pending = async { call() }
         val wasCheck = isCheckDue
         isCheckDue = false
@@ -184,6 +203,8 @@
         select<Result<ObjectChanges?, FeedFailure>> {
             pending.onAwait { it }
             checks.onReceive {
+                val isEnding = clocks.now().monotonicMillis >= endsSoonMillis
+                if (isArriving || isEnding) return@onReceive pending.await()
                 pending.cancel()
                 isCheckDue = true
                 Ok(null)
@@ -191,7 +212,17 @@
         }
     }
 
-    private fun pace(changes: ObjectChanges, nowMillis: Long) {
+    private fun recordSize(stored: StoredObject) {
+        sizes[stored.name] = stored.text?.length ?: 0
+    }
+
+    private fun changesMaxBytes(): Int {
+        val knownBytes = sizes.values.sumOf { it.toLong() }
+        val maxBytes = knownBytes + knownBytes / 2 + CHANGES_MIN_BYTES
+        return minOf(maxBytes, Int.MAX_VALUE.toLong()).toInt()
+    }
+
+    private fun pace(changes: ObjectChanges, start: ClockReading, nowMillis: Long) {
         hasNewer(changes.changes.map { it.stored })
         val burstDelayMillis = pacing.burstDelayMillis
         if (burstDelayMillis != null) {
@@ -199,7 +230,13 @@
             isBurst = changes.supersededCount > 0 || sinceChangeMillis < burstDelayMillis
         }
         changedMillis = nowMillis
-        pauseMillis = if (isBurst) burstDelayMillis ?: 0 else pacing.batchDelayMillis
+        pauseMillis = if (isBurst) burstPauseMillis(start) else pacing.batchDelayMillis
+    }
+
+    // Calls follow each other at the burst delay, or at once if they take longer.
+    private fun burstPauseMillis(start: ClockReading): Long {
+        val elapsedMillis = clocks.now().monotonicMillis - start.monotonicMillis
+        return maxOf(0, (pacing.burstDelayMillis ?: 0) - elapsedMillis)
     }
 
     private fun onUpToDate(at: ClockReading) {
@@ -222,7 +259,7 @@
     }
 
     private suspend fun onFailure(failure: FeedFailure, start: ClockReading, callWaitMillis: Long) {
-        if (failure == FeedFailure.HistoryGone) {
+        if (failure == FeedFailure.HistoryGone || failure == FeedFailure.TooManyChanges) {
             revision = null
             return
         }
@@ -248,6 +285,13 @@
         const val WATCH_TIMEOUT_MARGIN_MILLIS = 1000L
         const val CHECK_WAIT_MILLIS = 1L
 
+        // What a check takes on a slow link. It begins anew, so a call that ends earlier is faster.
+        const val CHECK_LEAD_MILLIS = 1000L
+
+        // Size that changes may have in any case. Beyond that they may be half as large again as
+        // the known objects, which is less than two versions of a large one.
+        const val CHANGES_MIN_BYTES = 64L * 1024
+
         // Time that a slow store takes to respond.
         const val RESPONSE_MAX_MILLIS = 300L
     }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -8,11 +8,15 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -21,6 +25,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.concurrent.ScheduledFuture
 import kotlin.coroutines.resume
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.suspendCancellableCoroutine
@@ -28,6 +33,8 @@
 import org.toucanspur.core.platform.HttpCaller
 import org.toucanspur.core.platform.HttpFailure
 import org.toucanspur.core.platform.HttpReply
+import org.toucanspur.core.platform.ResponseTimeout
+import org.toucanspur.daemon.monotonicMillis
 
 // Idle connections kept for one address, for calls that are made at the same time.
 private const val IDLE_CONNECTIONS_MAX = 2
@@ -54,32 +61,80 @@
         private val continuation: CancellableContinuation<Result<HttpReply, HttpFailure>>
     ) {
         private var channel: Channel? = null
+        private val connecting = LinkedHashSet<Channel>()
+        private var connectDueMillis = 0L
         private var isSent = false
         private var isDone = false
-        private val timeout = loop.schedule("call time-out", call.timeoutMillis) {
-            fail("timed out")
-        }
+        private var receivedBytes = 0L
+        private val timeout =
+            ResponseTimeout(monotonicMillis(), call.timeoutMillis, call.transferLimits)
+        private var timer: ScheduledFuture<*>? = null
 
         init {
+            scheduleTimeout()
             continuation.invokeOnCancellation { loop.executor.execute { finish(null) } }
         }
 
+        private fun scheduleTimeout() {
+            val leftMillis = timeout.dueMillis - monotonicMillis()
+            timer = loop.schedule("call time-out", leftMillis) {
+                // What has arrived meanwhile is read before the timers run again.
+                timer = loop.schedule("call time-out", 0, ::onTimeout)
+            }
+        }
+
+        private fun onTimeout() {
+            if (isDone) return
+            if (monotonicMillis() < timeout.dueMillis) {
+                scheduleTimeout()
+            } else {
+                fail("timed out after $receivedBytes bytes")
+            }
+        }
+
         fun start() {
-            val connectMillis = minOf(call.timeoutMillis, call.connectTimeoutMillis).toInt()
-            val future = loop.connect(socketAddress(call.address), connectMillis) {
+            connectDueMillis =
+                monotonicMillis() + minOf(call.timeoutMillis, call.connectTimeoutMillis)
+            connect()
+        }
+
+        private fun connect() {
+            val leftMillis = maxOf(1, connectDueMillis - monotonicMillis()).toInt()
+            val future = loop.connect(socketAddress(call.address), leftMillis) {
+                it.pipeline().addLast(ByteCounter())
                 it.pipeline().addResponseDecoder()
                 it.pipeline().addLast(
                     HttpObjectAggregator(call.responseMaxBytes),
                     ResponseHandler()
                 )
             }
-            channel = future.channel()
-            future.addListener { if (it.isSuccess) send() else fail(it.cause().toString()) }
+            connecting += future.channel()
+            future.addListener { onConnected(future) }
+            val retryMillis = call.connectRetryMillis ?: return
+            loop.schedule("connection request", retryMillis) {
+                if (!isDone && channel == null && monotonicMillis() < connectDueMillis) connect()
+            }
+        }
+
+        private fun onConnected(future: ChannelFuture) {
+            val opened = future.channel()
+            connecting -= opened
+            val isNeeded = !isDone && channel == null
+            if (future.isSuccess && isNeeded) {
+                channel = opened
+                connecting.toList().forEach { it.close() }
+                timeout.onConnected(monotonicMillis())
+                send()
+            } else {
+                opened.close()
+                if (isNeeded) fail(future.cause().toString())
+            }
         }
 
         fun reuse(openChannel: Channel) {
             channel = openChannel
             val aggregator = HttpObjectAggregator(call.responseMaxBytes)
+            openChannel.pipeline().replace(ByteCounter::class.java, null, ByteCounter())
             openChannel.pipeline().replace(HttpObjectAggregator::class.java, null, aggregator)
             openChannel.pipeline().replace(ResponseHandler::class.java, null, ResponseHandler())
             send()
@@ -123,7 +178,8 @@
         fun finish(result: Result<HttpReply, HttpFailure>?, isReusable: Boolean = false) {
             if (isDone) return
             isDone = true
-            timeout.cancel(false)
+            timer?.cancel(false)
+            connecting.toList().forEach { it.close() }
             val openChannel = channel
             if (isReusable && openChannel != null) keepOpen(openChannel) else openChannel?.close()
             if (result != null && continuation.isActive) continuation.resume(result)
@@ -134,9 +190,18 @@
             if (idle.size < IDLE_CONNECTIONS_MAX) idle.addLast(openChannel) else openChannel.close()
         }
 
+        private inner class ByteCounter : ChannelInboundHandlerAdapter() {
+            override fun channelRead(context: ChannelHandlerContext, message: Any) {
+                receivedBytes += (message as? ByteBuf)?.readableBytes() ?: 0
+                timeout.onBytes(monotonicMillis())
+                call.onBytes()
+                super.channelRead(context, message)
+            }
+        }
+
         private inner class ResponseHandler : SimpleChannelInboundHandler<FullHttpResponse>() {
             override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
-                if (isDone) {
+                if (isDone || context.channel() !== channel) {
                     // A response without a pending request; the connection cannot be reused.
                     context.close()
                     return
@@ -153,13 +218,18 @@
 
             override fun channelInactive(context: ChannelHandlerContext) {
                 idleChannels[call.address]?.remove(context.channel())
-                fail("connection closed")
+                if (context.channel() === channel) fail("connection closed")
             }
 
             @Deprecated("Deprecated in Java")
             override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
                 context.close()
-                fail(cause.toString())
+                if (context.channel() !== channel) return
+                if (cause is TooLongFrameException && isSent) {
+                    finish(Err(HttpFailure.TooLarge(call.responseMaxBytes)))
+                } else {
+                    fail(cause.toString())
+                }
             }
         }
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -26,8 +26,11 @@
 import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.core.platform.ObjectListing
 import org.toucanspur.core.platform.StoredObject
+import org.toucanspur.core.platform.WatchCall
 
 private const val WAIT_MILLIS = 1000L
+private const val LONG_WAIT_MILLIS = 10_000L
+private const val CHECKED_MILLIS = 600L
 
 /** A store whose watches run the given steps in order; the last step repeats. */
 private class ScriptedFeed(vararg steps: suspend () -> Result<ObjectChanges, FeedFailure>) :
@@ -39,6 +42,9 @@
     var eras = listOf<Long?>(null)
     val waitsMillis = mutableListOf<Long>()
 
+    /** Whether the first bytes of a response arrive at once. */
+    var arrivesAtOnce = false
+
     override suspend fun list(
         kind: ObjectKind,
         isStaleAllowed: Boolean
@@ -49,13 +55,10 @@
         return Ok(ObjectListing(listOf(StoredObject("a", 1, "{}")), 5, era))
     }
 
-    override suspend fun watch(
-        kind: ObjectKind,
-        afterRevision: Long,
-        waitMillis: Long
-    ): Result<ObjectChanges, FeedFailure> {
-        calls += "watch $afterRevision"
-        waitsMillis += waitMillis
+    override suspend fun watch(call: WatchCall): Result<ObjectChanges, FeedFailure> {
+        calls += "watch ${call.afterRevision}"
+        waitsMillis += call.waitMillis
+        if (arrivesAtOnce) call.onBytes()
         return (if (steps.size > 1) steps.removeFirst() else steps.first())()
     }
 }
@@ -85,15 +88,11 @@
         return Ok(ObjectListing(listOf(StoredObject("main", version, "{}")), version))
     }
 
-    override suspend fun watch(
-        kind: ObjectKind,
-        afterRevision: Long,
-        waitMillis: Long
-    ): Result<ObjectChanges, FeedFailure> {
+    override suspend fun watch(call: WatchCall): Result<ObjectChanges, FeedFailure> {
         watches++
-        val endMillis = nowMillis() + waitMillis
-        while (version <= afterRevision && nowMillis() < endMillis) delay(1)
-        val newer = version - afterRevision
+        val endMillis = nowMillis() + call.waitMillis
+        while (version <= call.afterRevision && nowMillis() < endMillis) delay(1)
+        val newer = version - call.afterRevision
         returnedVersions += newer
         val newest = ObjectChange(StoredObject("main", version, "{}"), isRemoved = false)
         val changes = if (newer > 0) listOf(newest) else emptyList()
@@ -185,6 +184,29 @@
     return listener
 }
 
+/** Runs a watcher that is checked at [checkMillis], until 600 ms later. */
+private suspend fun TestScope.runChecked(
+    feed: ObjectFeed,
+    waitMillis: Long,
+    checkMillis: Long
+): RecordingListener {
+    val listener = RecordingListener()
+    val watcher = ObjectWatcher(
+        feed,
+        ObjectKind.ENDPOINTS,
+        waitMillis,
+        { ClockReading(testScheduler.currentTime, testScheduler.currentTime) },
+        Random(1),
+        listener
+    )
+    val job = backgroundScope.launch { watcher.run() }
+    advanceTimeBy(checkMillis)
+    watcher.check()
+    advanceTimeBy(CHECKED_MILLIS)
+    job.cancel()
+    return listener
+}
+
 class ObjectWatcherTest :
     DescribeSpec({
         describe("a watcher") {
@@ -359,22 +381,31 @@
                     val silent: suspend () -> Result<ObjectChanges, FeedFailure> =
                         { awaitCancellation() }
                     val feed = ScriptedFeed(unchanged, silent, changed, unchanged)
-                    val listener = RecordingListener()
-                    val watcher = ObjectWatcher(
-                        feed,
-                        ObjectKind.ENDPOINTS,
-                        WAIT_MILLIS,
-                        { ClockReading(testScheduler.currentTime, testScheduler.currentTime) },
-                        Random(1),
-                        listener
-                    )
-                    val job = backgroundScope.launch { watcher.run() }
-                    advanceTimeBy(1300)
-                    watcher.check()
-                    advanceTimeBy(5)
-                    job.cancel()
+                    val listener = runChecked(feed, LONG_WAIT_MILLIS, checkMillis = 1300)
+                    listener.callbacks shouldBe listOf("listing 1", "changes 1")
+                    feed.waitsMillis shouldBe
+                        listOf(LONG_WAIT_MILLIS, LONG_WAIT_MILLIS, 1, LONG_WAIT_MILLIS)
+                }
+            }
+            // Guards against beginning transfers anew on a slow link, where none of them ended.
+            it("does not end a call for a check while its response arrives") {
+                runTest {
+                    val arriving: suspend () -> Result<ObjectChanges, FeedFailure> = {
+                        delay(500)
+                        changed()
+                    }
+                    val feed = ScriptedFeed(unchanged, arriving, unchanged)
+                    feed.arrivesAtOnce = true
+                    val listener = runChecked(feed, LONG_WAIT_MILLIS, checkMillis = 1300)
                     listener.callbacks shouldBe listOf("listing 1", "changes 1")
-                    feed.waitsMillis shouldBe listOf(WAIT_MILLIS, WAIT_MILLIS, 1, WAIT_MILLIS)
+                    feed.waitsMillis shouldBe List(3) { LONG_WAIT_MILLIS }
+                }
+            }
+            it("does not end a call for a check that ends soon by itself") {
+                runTest {
+                    val feed = ScriptedFeed(unchanged)
+                    runChecked(feed, WAIT_MILLIS, checkMillis = 1300)
+                    feed.waitsMillis shouldBe listOf(WAIT_MILLIS, WAIT_MILLIS)
                 }
             }
             it("times out when the store does not respond") {
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
@@ -1,11 +1,14 @@
 package org.toucanspur.daemon.net
 
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import com.sun.net.httpserver.HttpServer
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
@@ -17,6 +20,8 @@
 import kotlinx.coroutines.yield
 import org.toucanspur.core.platform.HttpCall
 import org.toucanspur.core.platform.HttpFailure
+import org.toucanspur.core.platform.HttpReply
+import org.toucanspur.core.platform.TransferLimits
 
 /** A server that records the ports from which it is called. */
 private class RecordingServer : AutoCloseable {
@@ -49,6 +54,51 @@
     }
 }
 
+/** A server that sends a body in parts, with a pause of [pauseMillis] after each one. */
+private class SlowServer(private val pauseMillis: Long) : AutoCloseable {
+    private val executor = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
+    private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
+
+    init {
+        server.executor = executor
+        server.createContext("/") { exchange ->
+            exchange.use {
+                exchange.sendResponseHeaders(200, BODY_BYTES.toLong())
+                repeat(PARTS) {
+                    exchange.responseBody.write(ByteArray(BODY_BYTES / PARTS))
+                    exchange.responseBody.flush()
+                    Thread.sleep(pauseMillis)
+                }
+            }
+        }
+        server.start()
+    }
+
+    fun call(timeoutMillis: Long, limits: TransferLimits?): Result<HttpReply, HttpFailure> {
+        val loop = NettyEventLoop()
+        val call = HttpCall(
+            "127.0.0.1:${server.address.port}",
+            "GET",
+            "/a",
+            timeoutMillis,
+            transferLimits = limits
+        )
+        return runBlocking {
+            withContext(loop.scope.coroutineContext) { NettyHttpClient(loop).call(call) }
+        }
+    }
+
+    override fun close() {
+        server.stop(0)
+        executor.shutdownNow()
+    }
+
+    companion object {
+        const val BODY_BYTES = 24_000
+        private const val PARTS = 30
+    }
+}
+
 class NettyHttpClientTest :
     DescribeSpec({
         // Guards against acting on an outdated check when the process stops while it connects.
@@ -103,6 +153,32 @@
                 }
             }
         }
+        // Guards against cutting off a transfer that is under way: a call that is made again begins
+        // anew and takes just as long.
+        describe("a response that takes longer than the time-out of its call") {
+            val limits = TransferLimits(silenceMillis = 20_000, totalMillis = 60_000)
+            it("is complete if its bytes keep arriving") {
+                SlowServer(pauseMillis = 100).use { server ->
+                    val result = server.call(timeoutMillis = 2000, limits)
+                    result.get()?.body?.size shouldBe SlowServer.BODY_BYTES
+                }
+            }
+            it("is a failure without limits of a transfer") {
+                SlowServer(pauseMillis = 100).use { server ->
+                    server.call(
+                        timeoutMillis = 2000,
+                        limits = null
+                    ).getError().toString() shouldContain
+                        "timed out after"
+                }
+            }
+            it("is a failure if it falls silent") {
+                SlowServer(pauseMillis = 60_000).use { server ->
+                    val silence = TransferLimits(silenceMillis = 100, totalMillis = 60_000)
+                    server.call(timeoutMillis = 500, silence).isErr shouldBe true
+                }
+            }
+        }
         describe("calls that may reuse connections") {
             suspend fun callAll(server: RecordingServer, calls: Int, together: Int) {
                 val loop = NettyEventLoop()
