Read the configuration at agents when it is needed

Cause: each agent followed the configuration, with all routes, though it uses the model of its service, the origin, and the kinds of routes when it sends a load order. The class: evidence is fetched when it changes and not when an act needs it.

Change: AgentConfiguration reads the newest version at the start and then when the known one is older than the act allows: before a load order (2 s), for an unknown model (1 s), after a failed transfer (5 s), and about once a minute.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -15,30 +15,25 @@
 import kotlin.random.Random
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.ClockReading
-import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.VersionDiscovery
 import org.toucanspur.core.gateway.WatchProgress
-import org.toucanspur.core.platform.ObjectChange
 import org.toucanspur.core.platform.ObjectKind
-import org.toucanspur.core.platform.StoredObject
 import org.toucanspur.core.weights.EngineReport
 import org.toucanspur.core.weights.RunningRequestPolicy
 import org.toucanspur.core.weights.isWorthFinishing
 import org.toucanspur.core.weights.loadTimeMillis
 import org.toucanspur.core.weights.nextLoadMillis
 import org.toucanspur.daemon.gateway.ListingAgeTracker
-import org.toucanspur.daemon.gateway.LoggingWatchListener
-import org.toucanspur.daemon.gateway.ObjectWatchListener
 import org.toucanspur.daemon.gateway.ObjectWatcher
 import org.toucanspur.daemon.gateway.PauseMonitor
 import org.toucanspur.daemon.gateway.ProbeServer
-import org.toucanspur.daemon.gateway.WatchPacing
 import org.toucanspur.daemon.gateway.WeightVersionListener
 import org.toucanspur.daemon.gateway.systemClocks
 import org.toucanspur.daemon.log.DecisionLog
@@ -52,7 +47,6 @@
 import org.toucanspur.platform.OriginClient
 import org.toucanspur.platform.PlatformStore
 import org.toucanspur.platform.TargetVersion
-import org.toucanspur.platform.decodeConfiguration
 import org.toucanspur.platform.decodeEndpoint
 import org.toucanspur.schema.CrashEvidence
 import org.toucanspur.schema.Frame
@@ -96,11 +90,15 @@
     private val regions = zoneRegions(settings)
     private val pauses = PauseMonitor(systemClocks, log)
 
-    private var configuration: TrafficConfiguration? = null
+    private val configuration =
+        AgentConfiguration(store, systemClocks, ::onConfigurationUnavailable) { reason ->
+            log.event(EventCode.CONFIGURATION_REJECTED) { put("reason", reason) }
+        }
     private var peers: Map<VmId, RegionId?> = emptyMap()
     private val targetVersions = HashMap<ModelId, ArrayDeque<Pair<Long, Long>>>()
     private var transfer: VersionTransfer? = null
     private var transferJob: Job? = null
+    private var failedTransfer: VersionKey? = null
     private val stagingQueue = Channel<Pair<VersionKey, Int>>(Channel.UNLIMITED)
     private val loadChecks = Channel<Unit>(Channel.CONFLATED)
     private var report: EngineReport? = null
@@ -110,7 +108,9 @@
     private var startedAtMillis = 0L
 
     private val model: ModelId?
-        get() = configuration?.services?.get(settings.engine.service)?.models?.firstOrNull()?.id
+        get() = configuration.current?.services?.get(
+            settings.engine.service
+        )?.models?.firstOrNull()?.id
 
     override fun start() {
         pauses.start(loop)
@@ -124,40 +124,29 @@
         }
         ProbeServer(loop, mapOf("/metrics" to registry::scrape))
             .start(InetSocketAddress(settings.node.host, settings.addresses.peerPort + 1))
-        followKind(
-            ObjectKind.CONFIGURATION,
-            ConfigurationReader(),
-            WatchPacing(CONFIGURATION_BATCH_MILLIS, CONFIGURATION_BURST_MILLIS)
-        )
-        followKind(
-            ObjectKind.WEIGHT_VERSIONS,
-            WeightVersionListener(
-                log,
-                systemClocks,
-                pauses,
-                ListingAgeTracker(),
-                ::onTargetVersionSet
-            )
-        )
+        loop.supervise("configuration") { configurationLoop() }
+        followWeightVersions()
         loop.supervise("engine reports") { reportLoop() }
         loop.supervise("loads") { loadLoop() }
         loop.supervise("staging") { stageLoop() }
     }
 
-    private fun followKind(
-        kind: ObjectKind,
-        sink: ObjectWatchListener,
-        pacing: WatchPacing = WatchPacing()
-    ) = loop.supervise("watch $kind") {
+    private fun followWeightVersions() = loop.supervise("watch of weight versions") {
+        val listener = WeightVersionListener(
+            log,
+            systemClocks,
+            pauses,
+            ListingAgeTracker(),
+            ::onTargetVersionSet
+        )
         ObjectWatcher(
             store,
-            kind,
+            ObjectKind.WEIGHT_VERSIONS,
             WATCH_WAIT_MILLIS,
             systemClocks,
             random,
-            sink,
-            pacing,
-            WatchProgress(pauses)
+            listener,
+            progress = WatchProgress(pauses)
         ).run()
     }
 
@@ -165,26 +154,31 @@
         log.event(EventCode.STOPPED)
     }
 
-    private inner class ConfigurationReader : LoggingWatchListener(ObjectKind.CONFIGURATION, log) {
-        override fun onListing(objects: List<StoredObject>, unseenSince: ClockReading) =
-            objects.forEach(::adopt)
-
-        override fun onChanges(changes: List<ObjectChange>, unseenSince: ClockReading) =
-            changes.filterNot { it.isRemoved }.forEach { adopt(it.stored) }
-
-        private fun adopt(stored: StoredObject) = decodeConfiguration(stored.text.orEmpty()).fold(
-            success = { if (it.version > (configuration?.version ?: -1)) configuration = it },
-            failure = { reason ->
-                log.event(EventCode.CONFIGURATION_REJECTED) { put("reason", reason) }
-            }
-        )
+    // Acts that depend on a recent configuration refresh it before.
+    private suspend fun configurationLoop() {
+        while (true) {
+            configuration.refresh(maxAgeMillis = 0)
+            // Agents that started together do not read at the same time.
+            val periodMillis = CONFIGURATION_PERIOD_MILLIS / 2 +
+                random.nextLong(CONFIGURATION_PERIOD_MILLIS)
+            delay(if (model == null) MODEL_POLL_MILLIS else periodMillis)
+        }
     }
 
+    private fun onConfigurationUnavailable(reason: String) =
+        log.event(EventCode.STORE_UNAVAILABLE) {
+            put("kind", ObjectKind.CONFIGURATION.name)
+            put("reason", reason)
+        }
+
     private fun onTargetVersionSet(
         version: TargetVersion,
         since: ClockReading,
         age: VersionDiscovery
     ) {
+        if (version.model != model) {
+            loop.launch("configuration") { configuration.refresh(MODEL_MAX_AGE_MILLIS) }
+        }
         val versions = targetVersions.getOrPut(version.model) { ArrayDeque() }
         if (versions.isNotEmpty() && versions.last().first >= version.version) return
         val boundMillis = settings.bounds.versionMillis.toLong()
@@ -277,17 +271,27 @@
         // entries are notified before the order is sent.
         isLoading = true
         pushLoadReport()
-        if (loaded > 0) delay(LOAD_DELAY_MILLIS)
+        if (loaded > 0) awaitLoadDelay()
         val fresh = engine.report().get()
         isLoading = fresh != null &&
             !fresh.isBusy &&
             loader.load(VersionKey(model, ready), fresh, runningRequests())
     }
 
+    // Whether running requests may be cut depends on the routes that are in force.
+    private suspend fun awaitLoadDelay() = coroutineScope {
+        launch { refreshInTime(ROUTES_MAX_AGE_MILLIS) }
+        delay(LOAD_DELAY_MILLIS)
+    }
+
+    private suspend fun refreshInTime(maxAgeMillis: Long) {
+        withTimeoutOrNull(REFRESH_MAX_MILLIS) { configuration.refresh(maxAgeMillis) }
+    }
+
     // Resumable streams continue at another endpoint with a gap that still counts as on time.
     // Waiting for them would leave the engine idle for most of their duration.
     private fun runningRequests(): RunningRequestPolicy {
-        val routes = configuration?.routes.orEmpty().filter { route ->
+        val routes = configuration.current?.routes.orEmpty().filter { route ->
             route.targets.any { it.service == settings.engine.service }
         }
         val areResumable = routes.all { it.isRepeatable && it.endpointsMax > 1 }
@@ -339,7 +343,10 @@
             if (isWorthFinishing(held, total)) return
             transferJob?.cancel()
         }
-        val origin = configuration?.services?.values?.firstNotNullOfOrNull { it.origin } ?: return
+        // An origin from which a transfer failed may have been replaced.
+        if (failedTransfer == key) refreshInTime(ORIGIN_MAX_AGE_MILLIS)
+        val services = configuration.current?.services.orEmpty()
+        val origin = services.values.firstNotNullOfOrNull { it.origin } ?: return
         refreshPeers()
         val client = OriginClient(http, origin.address)
         val started = VersionTransfer(
@@ -359,7 +366,10 @@
                 started.run(this)
             } finally {
                 // After a failure, the next check starts the transfer again.
-                if (transfer === started && !cache.isComplete(key)) transfer = null
+                if (transfer === started && !cache.isComplete(key)) {
+                    transfer = null
+                    failedTransfer = key
+                }
             }
             refreshing.cancel()
         }
@@ -466,11 +476,17 @@
         const val FIRST_VERSION = 1L
         const val NO_LOAD = -1L
         const val WATCH_WAIT_MILLIS = 10_000L
-        const val CONFIGURATION_BATCH_MILLIS = 250L
+        const val MODEL_POLL_MILLIS = 500L
+        const val CONFIGURATION_PERIOD_MILLIS = 60_000L
+
+        // Ages up to which the configuration names the origin, the model of the service, and the
+        // kinds of routes.
+        const val ORIGIN_MAX_AGE_MILLIS = 5000L
+        const val MODEL_MAX_AGE_MILLIS = 1000L
+        const val ROUTES_MAX_AGE_MILLIS = 2000L
 
-        // Agents use what rarely changes: the model of their service, the kinds of its routes and
-        // the origin of the weights.
-        const val CONFIGURATION_BURST_MILLIS = 5000L
+        // The load is due, also while the store is slow.
+        const val REFRESH_MAX_MILLIS = 1000L
 
         // Short, because all entries wait for the report that a load has ended.
         const val LOADING_REPORT_MILLIS = 50L
