Refuse with 503 what only an outdated configuration lacks

Cause: an entry stops accepting keys by an old configuration, but named missing routes and unknown keys by one of any age or of up to 3.7 s. The class: a statement rests on evidence that no longer holds.

Change: 404 and 401 need a configuration that lacks no change that has to be in force ([bounds] configuration-millis). Until it is confirmed again, the request gets 503 with Retry-After, which is true and lets the caller ask another entry.

Evidence: GatewayTest 'is refused with 503 without a route or key in an outdated configuration' and KeyDecisionTest, new cases; not run against the code before, which has no such limit. The bounds of TestGateway name the time that a change may take, 30 s, so that no test depends on how fast it runs.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/KeyDecision.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/KeyDecision.kt
@@ -19,18 +19,23 @@
 
 /**
  * Checks the [key] of a request on [route] by [configuration], which [isFresh] if it is known to be
- * the newest. A request without a key on a route with anonymous access needs no fresh one.
+ * the newest. A request without a key on a route with anonymous access needs no fresh one. That a
+ * key is unknown needs one that [isCurrent]: it lacks no change that has to be in force.
  */
 fun checkApiKey(
     configuration: TrafficConfiguration,
     route: TrafficRoute,
     key: String?,
-    isFresh: Boolean
+    isFresh: Boolean,
+    isCurrent: Boolean
 ): KeyDecision {
     if (!configuration.requiresApiKey) return KeyDecision.Accepted(null)
     if (key == null && route.isAnonymousAllowed) return KeyDecision.Accepted(null)
     if (!isFresh) return KeyDecision.Undecidable
     val organisation = key?.let(configuration::organisationOf)
-    val isAccepted = organisation != null || route.isAnonymousAllowed
-    return if (isAccepted) KeyDecision.Accepted(organisation) else KeyDecision.Unknown
+    return when {
+        organisation != null || route.isAnonymousAllowed -> KeyDecision.Accepted(organisation)
+        isCurrent -> KeyDecision.Unknown
+        else -> KeyDecision.Undecidable
+    }
 }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/KeyDecisionTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/KeyDecisionTest.kt
@@ -37,7 +37,7 @@
         val anonymous = route(isAnonymousAllowed = true)
         describe("a fresh configuration") {
             fun check(route: TrafficRoute, key: String?) =
-                checkApiKey(configuration(acme), route, key, isFresh = true)
+                checkApiKey(configuration(acme), route, key, isFresh = true, isCurrent = true)
             it("gives a key to its organisation on every route") {
                 check(keyed, "k") shouldBe KeyDecision.Accepted(acme)
                 check(anonymous, "k") shouldBe KeyDecision.Accepted(acme)
@@ -49,11 +49,21 @@
                 }
             }
         }
+        // Guards against 401 for a key that a newer version of the configuration has.
+        describe("a fresh configuration that may lack a change in force") {
+            fun check(key: String?) =
+                checkApiKey(configuration(acme), keyed, key, isFresh = true, isCurrent = false)
+            it("accepts the keys that it has, and does not decide on others") {
+                check("k") shouldBe KeyDecision.Accepted(acme)
+                check("x") shouldBe KeyDecision.Undecidable
+                check(null) shouldBe KeyDecision.Undecidable
+            }
+        }
         // Guards against acting for the organisation of a key that was taken away: on routes with
         // anonymous access, a configuration of any age decided.
         describe("an outdated configuration") {
             fun check(route: TrafficRoute, key: String?) =
-                checkApiKey(configuration(acme), route, key, isFresh = false)
+                checkApiKey(configuration(acme), route, key, isFresh = false, isCurrent = false)
             it("decides on no key on any route") {
                 listOf("k", "x").forEach { key ->
                     check(keyed, key) shouldBe KeyDecision.Undecidable
@@ -67,8 +77,13 @@
         }
         describe("a configuration without organisations") {
             it("accepts every request without an organisation") {
-                checkApiKey(configuration(), keyed, "k", isFresh = false) shouldBe
-                    KeyDecision.Accepted(null)
+                checkApiKey(
+                    configuration(),
+                    keyed,
+                    "k",
+                    isFresh = false,
+                    isCurrent = false
+                ) shouldBe KeyDecision.Accepted(null)
             }
         }
     })
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallAdmission.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallAdmission.kt
@@ -35,7 +35,7 @@
         }
         val host = request.head.headers().get(HttpHeaderNames.HOST).orEmpty()
         val route = configuration.route(host, request.head.uri())
-            ?: return refuse(NOT_FOUND, "no route")
+            ?: return refuseUnrouted()
         val decision = checkKey(configuration, route, metadata.key)
         if (decision !is KeyDecision.Accepted) return Admission.Refused(refusalOf(decision))
         val service = chooseService(configuration, route)
@@ -57,8 +57,23 @@
         }
     }
 
-    private fun checkKey(configuration: TrafficConfiguration, route: TrafficRoute, key: String?) =
-        checkApiKey(configuration, route, key, state.freshness.isFresh(systemClocks.now()))
+    // An outdated configuration may lack the route.
+    private fun refuseUnrouted(): Admission =
+        if (state.isConfigurationCurrent(systemClocks.now())) {
+            refuse(NOT_FOUND, "no route")
+        } else {
+            refuse(UNAVAILABLE, "routes may be out of date", FRESHNESS_RETRY_MILLIS)
+        }
+
+    private fun checkKey(
+        configuration: TrafficConfiguration,
+        route: TrafficRoute,
+        key: String?
+    ): KeyDecision {
+        val now = systemClocks.now()
+        val isCurrent = state.isConfigurationCurrent(now)
+        return checkApiKey(configuration, route, key, state.freshness.isFresh(now), isCurrent)
+    }
 
     private fun refusalOf(decision: KeyDecision): Refusal = if (decision == KeyDecision.Unknown) {
         Refusal(UNAUTHORIZED, "unknown key", null)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -125,6 +125,13 @@
     /** Freshness of the configuration. */
     val freshness: Freshness get() = storeFreshness[ObjectKind.CONFIGURATION]
 
+    /**
+     * Whether the configuration lacks no change that has to be in force at [now]. What is refused
+     * because the configuration does not have it, is refused for good by a current one only.
+     */
+    fun isConfigurationCurrent(now: ClockReading): Boolean =
+        freshness.ageMillis(now)?.let { it < settings.bounds.configurationMillis } ?: false
+
     /** Weight versions named by the operator. */
     val versions = VersionGate(settings.bounds.versionMillis.toLong())
 
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -64,6 +64,19 @@
                 gateway.call("/nowhere/") shouldContain "404"
                 gateway.call("/once/", key = "x") shouldContain "401"
             }
+            // Guards against 404 and 401 for what a newer version of the configuration has.
+            it("is refused with 503 without a route or key in an outdated configuration") {
+                val first = endpoint { request, socket -> socket.respond(request, "fine") }
+                val gateway = TestGateway(
+                    listOf(first.port),
+                    configurationAgeMillis = CONFIGURATION_BOUND_MILLIS + 1000L
+                )
+                listOf(gateway.call("/nowhere/"), gateway.call("/once/", key = "x")).forEach {
+                    it shouldContain "503"
+                    it shouldContain "Retry-After"
+                }
+                gateway.call("/once/") shouldContain "fine"
+            }
             it("is refused without being executed while keys cannot be checked") {
                 val first = endpoint { request, socket -> socket.respond(request, "fine") }
                 val response = TestGateway(listOf(first.port), isFresh = false).call("/once/")
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -41,6 +41,9 @@
 
 /** Bound of a target version at a [TestGateway]. */
 const val VERSION_BOUND_MILLIS = 8000
+
+/** Time in which a change of the configuration has to be in force at a [TestGateway]. */
+const val CONFIGURATION_BOUND_MILLIS = 30_000
 private const val RESPONSE_MEMORY_BYTES = 20L * 1024 * 1024
 private val service = ServiceId("s")
 private val engineService = ServiceId("engine")
@@ -56,7 +59,20 @@
     StoreSection("127.0.0.1:1", 1200),
     EngineSection("none", ServiceId("none")),
     LimitsSection(430, 4200, 1000.0),
-    BoundsSection(2000, 8, 60_000, 5000, 2000, 3000, VERSION_BOUND_MILLIS, 0.2, 10, 100, 5, 120)
+    BoundsSection(
+        drainMillis = 2000,
+        graceSeconds = 8,
+        revocationMillis = 60_000,
+        evacuationMillis = 5000,
+        configurationMillis = CONFIGURATION_BOUND_MILLIS,
+        stabilityMillis = 3000,
+        versionMillis = VERSION_BOUND_MILLIS,
+        retryBudgetRatio = 0.2,
+        retryBudgetWindowSeconds = 10,
+        retryBudgetAllowance = 100,
+        coldAllowance = 5,
+        eventRelayMillis = 120
+    )
 )
 
 private fun route(
@@ -129,7 +145,8 @@
     codec: RequestCodec = TestRequestCodec,
     endpointsMax: Int = 2,
     limits: CallerLimits = CallerLimits(16_384, bodyMaxBytes, 3000, 15_000),
-    responseMemoryBytes: Long = RESPONSE_MEMORY_BYTES
+    responseMemoryBytes: Long = RESPONSE_MEMORY_BYTES,
+    configurationAgeMillis: Long = 0
 ) {
     /** Names of the tasks that failed. */
     val failedTasks = CopyOnWriteArrayList<String>()
@@ -165,7 +182,14 @@
         onLoop {
             state.configuration = configuration.toTraffic()
             if (isListed) state.listedKinds += ObjectKind.entries
-            if (isFresh) state.freshness.renew(systemClocks.now())
+            if (isFresh) {
+                val now = systemClocks.now()
+                val confirmedAt = ClockReading(
+                    now.monotonicMillis - configurationAgeMillis,
+                    now.wallMillis - configurationAgeMillis
+                )
+                state.freshness.renew(confirmedAt)
+            }
             endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
         }
         val metrics = GatewayMetrics(registry)
