Keep an endpoint draining that an older copy of the store lists again

Cause: the first listing of an era keeps a run of an endpoint draining only while its record is known; once the record had been removed, the older copy made the endpoint ready again. The class: an older copy is believed against what the store has acknowledged.

Change: what is remembered of a removed endpoint counts as well.

Evidence: FleetTest 'stays draining after its record was removed' failed before.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -459,7 +459,8 @@
 
     /**
      * Applies a complete listing and removes the endpoints that are not in it. If the listing is
-     * from an older copy ([isRestored]), a run of an endpoint that is draining stays so.
+     * from an older copy ([isRestored]), a run of an endpoint that is draining stays so, also if its
+     * record has been removed since.
      */
     fun replaceAll(records: List<EndpointRecord>, nowMillis: Long, isRestored: Boolean = false) {
         val listed = records.map { it.id }.toSet()
@@ -468,7 +469,7 @@
     }
 
     private fun newer(listed: EndpointRecord): EndpointRecord {
-        val known = endpoints[listed.id]?.record
+        val known = (endpoints[listed.id] ?: dropped[listed.id]?.endpoint)?.record
         val isDraining = known != null &&
             known.startedAtMillis == listed.startedAtMillis &&
             !known.isReady
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/FleetTest.kt
@@ -109,6 +109,14 @@
                 fleet.replaceAll(listOf(restarted), 400, isRestored = true)
                 isReady() shouldBe true
             }
+            // Guards against requests to an endpoint that has left, which an older copy lists.
+            it("stays draining after its record was removed") {
+                val fleet = Fleet()
+                fleet.put(record("e1", isReady = false), 0)
+                fleet.remove(EndpointId("e1"), 100)
+                fleet.replaceAll(listOf(record("e1")), 200, isRestored = true)
+                fleet.find(EndpointId("e1"))!!.record.isReady shouldBe false
+            }
         }
         describe("an endpoint that is listed again") {
             val id = EndpointId("e0")
