Forget the size of removed objects in the watch of a kind

The allowed size of changes counted objects that had been removed, and their names stayed in memory until the next listing. ObjectWatcherTest 'allows changes by the size of the objects that it knows' covers it.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -459,8 +459,8 @@
 
     /**
      * Applies a complete listing and removes the endpoints that are not in it. If the listing is
-     * from an older copy ([isRestored]), a run of an endpoint that is draining stays so, also if its
-     * record has been removed since.
+     * from an older copy ([isRestored]), a run of an endpoint that is draining stays so, also if
+     * its record has been removed since.
      */
     fun replaceAll(records: List<EndpointRecord>, nowMillis: Long, isRestored: Boolean = false) {
         val listed = records.map { it.id }.toSet()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -181,7 +181,9 @@
             onUpToDate(confirmedAt(at, waitMillis))
         } else {
             val now = clocks.now()
-            changes.changes.forEach { recordSize(it.stored) }
+            changes.changes.forEach {
+                if (it.isRemoved) sizes -= it.stored.name else recordSize(it.stored)
+            }
             listener.onChanges(changes.changes, progress.unseenSince(at, now))
             onUpToDate(at)
             pace(changes, at, now.monotonicMillis)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -1,7 +1,8 @@
 /*
  * HTTP client on the event loop. By default each call uses a new connection, so that a connection
  * that stalls makes only one call time out. Calls that may be sent twice reuse idle connections;
- * one that fails is closed.
+ * one that fails is closed. A call may request further connections while the first one is not
+ * established; the one that is established first is used, and the others are closed.
  */
 package org.toucanspur.daemon.net
 
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -41,6 +41,7 @@
     /** Eras of the listings, in order; the last one repeats. */
     var eras = listOf<Long?>(null)
     val waitsMillis = mutableListOf<Long>()
+    val maxBytes = mutableListOf<Int>()
 
     /** Whether the first bytes of a response arrive at once. */
     var arrivesAtOnce = false
@@ -58,6 +59,7 @@
     override suspend fun watch(call: WatchCall): Result<ObjectChanges, FeedFailure> {
         calls += "watch ${call.afterRevision}"
         waitsMillis += call.waitMillis
+        maxBytes += call.maxBytes
         if (arrivesAtOnce) call.onBytes()
         return (if (steps.size > 1) steps.removeFirst() else steps.first())()
     }
@@ -375,6 +377,31 @@
                     job.cancel()
                 }
             }
+            it("allows changes by the size of the objects that it knows") {
+                runTest {
+                    fun change(bytes: Int, isRemoved: Boolean): ObjectChanges {
+                        val stored = StoredObject("b", 6, "x".repeat(bytes))
+                        return ObjectChanges(listOf(ObjectChange(stored, isRemoved)), 6)
+                    }
+                    val feed = ScriptedFeed(
+                        { Ok(change(100_000, isRemoved = false)) },
+                        { Ok(change(0, isRemoved = true)) },
+                        unchanged
+                    )
+                    runWatcher(feed, millis = 500)
+                    val (listed, changed, removed) = feed.maxBytes
+                    changed - listed shouldBe 150_000
+                    removed shouldBe listed
+                }
+            }
+            it("lists the objects when their changes are larger than allowed") {
+                runTest {
+                    val feed = ScriptedFeed({ Err(FeedFailure.TooManyChanges) }, unchanged)
+                    val listener = runWatcher(feed, millis = 500)
+                    feed.calls shouldBe listOf("list", "watch 5", "list", "watch 5")
+                    listener.callbacks shouldBe listOf("listing 1", "listing 1")
+                }
+            }
             // Guards against acting on an old list while a watch waits for a response that is lost.
             it("ends its wait for a check, which returns what has changed") {
                 runTest {
