Stop the entries of a closed test, which called ports of other tests

Cause, read from the code: PlatformEntryTest starts entries inside the JVM of the tests and never ended their event loops, so they kept on watching the port of their closed store, and an endpoint of the soak in the same JVM got that port. The soak itself is unchanged.

NettyEventLoop can be closed; the fixture closes it. PlatformEntryTest and NettyEventLoopTest pass (one run each beside load); the failure was not produced again on purpose.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
@@ -119,9 +119,10 @@
 
     // Peer datagrams use this port; metrics use the next one.
     private val peerPort = callersPort + 2
+    val loop = NettyEventLoop()
     val entry = GatewayEntry(
         settings(),
-        NettyEventLoop(),
+        loop,
         DecisionLog(VmId("vm"), PrintStream(ByteArrayOutputStream()))
     )
 
@@ -177,7 +178,9 @@
         socket.getInputStream().readBytes().decodeToString().lineSequence().first()
     }
 
+    // An entry that still ran would call whatever listens on the port of its closed store next.
     override fun close() {
+        loop.close()
         store.close()
         endpointOne.close()
         endpointTwo.close()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyEventLoop.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyEventLoop.kt
@@ -28,6 +28,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -49,9 +50,11 @@
 
 // Time between the failure of a task and its next run.
 private const val RESTART_MILLIS = 500L
+private const val CLOSE_TIMEOUT_MILLIS = 2000L
 
 /** An event loop with one thread and its coroutine scope; [onFailure] gets the task that failed. */
-class NettyEventLoop(private val onFailure: (String, Throwable) -> Unit = { _, _ -> }) {
+class NettyEventLoop(private val onFailure: (String, Throwable) -> Unit = { _, _ -> }) :
+    AutoCloseable {
     init {
         val id = Random.nextBytes(MACHINE_ID_BYTES).joinToString(":") { "%02x".format(it) }
         System.setProperty(MACHINE_ID, System.getProperty(MACHINE_ID) ?: id)
@@ -161,6 +164,12 @@
             .handler(handler)
             .bind(address)
 
+    /** Ends all tasks, closes all connections and waits until the thread has ended. */
+    override fun close() {
+        scope.cancel()
+        group.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly()
+    }
+
     private fun writeBufferWaterMark() =
         WriteBufferWaterMark(WRITE_BUFFER_LOW_BYTES, WRITE_BUFFER_HIGH_BYTES)
 
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyEventLoopTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyEventLoopTest.kt
@@ -49,4 +49,23 @@
                 job.join()
             }
         }
+        describe("a closed event loop") {
+            it("runs no task any more, so that a closed process calls nobody") {
+                val loop = NettyEventLoop()
+                val isRunning = CountDownLatch(1)
+                var isCancelled = false
+                loop.supervise("watch") {
+                    isRunning.countDown()
+                    try {
+                        awaitCancellation()
+                    } finally {
+                        isCancelled = true
+                    }
+                }
+                isRunning.await(WAIT_SECONDS, TimeUnit.SECONDS) shouldBe true
+                loop.close()
+                isCancelled shouldBe true
+                loop.executor.isTerminated shouldBe true
+            }
+        }
     })
