Record the classes of requests and transfers in the CDS archive

Cause: the class list came from a start without a store, so 700 classes of an agent were read from JAR files and verified at each start; Netty and Micrometer started Logback, which the platform deployment does not use; Netty started the flight recorder.

--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/DeployedCluster.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/DeployedCluster.kt
@@ -15,8 +15,15 @@
 import org.toucanspur.standin.platform.RouteDocument
 import org.toucanspur.standin.platform.endpointDocument
 
-/** Entries and agents with an object store, an origin and an engine for each agent. */
-internal class DeployedCluster(entryCount: Int, agentCount: Int) : AutoCloseable {
+/**
+ * Entries and agents with an object store, an origin and an engine for each agent. Processes run
+ * with the command that [commandOf] returns for their role, host and deployed command.
+ */
+internal class DeployedCluster(
+    entryCount: Int,
+    agentCount: Int,
+    private val commandOf: (String, String, List<String>) -> List<String> = { _, _, it -> it }
+) : AutoCloseable {
     private val directory = Files.createTempDirectory("toucanspur-cost")
     private val store = ObjectStoreService()
     private val origin = OriginService(MODEL)
@@ -34,7 +41,8 @@
     var agents = emptyList<DeployedProcess>()
         private set
 
-    private val entryHosts = List(entryCount) { "$subnet.1.${it + 1}" }
+    /** Addresses of the entries. */
+    val entryHosts = List(entryCount) { "$subnet.1.${it + 1}" }
     private val agentHosts = List(agentCount) { "$subnet.2.${it + 1}" }
 
     /** Stores the objects and starts all processes. */
@@ -56,7 +64,7 @@
     }
 
     private fun startProcess(role: String, host: String, sections: String) = DeployedProcess(
-        commands.getValue(role),
+        commandOf(role, host, commands.getValue(role)),
         "[node]\nrole = $role\nvm = $role-$host\nhost = $host\nzone = z\nregion = r\n" +
             "zone-regions = z:r\n[addresses]\ncallers = $host:17701\n" +
             "readiness = $host:17702\npeer-port = 17703\n" +
@@ -75,6 +83,12 @@
     /** Number of engines that have loaded [version]. */
     fun loadedCount(version: Long): Int = engines.count { it.loadedVersion == version }
 
+    /** Ends all processes as a planned stop does. */
+    fun stop() {
+        (entries + agents).forEach { it.terminate() }
+        (entries + agents).forEach { it.awaitExit() }
+    }
+
     override fun close() {
         (entries + agents).forEach { it.close() }
         (engines + listOf(store, origin)).forEach { it.close() }
--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/DeployedProcess.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/DeployedProcess.kt
@@ -5,6 +5,7 @@
 
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.TimeUnit
 import kotlin.io.path.readText
 import org.toucanspur.platform.PLATFORM_SETTINGS_VARIABLE
 
@@ -67,6 +68,12 @@
         .firstOrNull { it.startsWith("VmRSS:") }
         ?.filter(Char::isDigit)?.toLong() ?: 0
 
+    /** Sends SIGTERM. */
+    fun terminate() = process.destroy()
+
+    /** Waits until the process has ended, at most for a grace period. */
+    fun awaitExit(): Boolean = process.waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+
     override fun close() {
         process.destroyForcibly().waitFor()
     }
@@ -74,5 +81,6 @@
     private companion object {
         const val USER_TIME_FIELD = 11
         const val MILLIS_PER_TICK = 10L
+        const val EXIT_TIMEOUT_SECONDS = 10L
     }
 }
--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/Main.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/Main.kt
@@ -36,7 +36,8 @@
     ConfigMeasurement(),
     TimelineMeasurement(),
     ControlMeasurement(),
-    CostMeasurement()
+    CostMeasurement(),
+    ClassListMeasurement()
 )
 
 private const val EXIT_USAGE = 2
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/node/PlatformDaemon.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/node/PlatformDaemon.kt
@@ -5,6 +5,10 @@
 package org.toucanspur.daemon.node
 
 import com.github.michaelbull.result.fold
+import io.micrometer.common.util.internal.logging.InternalLoggerFactory as MicrometerLoggerFactory
+import io.micrometer.common.util.internal.logging.JdkLoggerFactory as MicrometerJdkLoggerFactory
+import io.netty.util.internal.logging.InternalLoggerFactory as NettyLoggerFactory
+import io.netty.util.internal.logging.JdkLoggerFactory as NettyJdkLoggerFactory
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -31,6 +35,7 @@
 fun runPlatformDaemon(path: String) {
     // Without a handler, a SIGHUP sent for a reload would terminate a process during its start.
     Signal.handle(Signal("HUP")) { }
+    useJdkLogging()
     val settings = readNodeSettings(path) ?: exitProcess(EXIT_USAGE)
     val log = DecisionLog(settings.node.vm)
     val loop = NettyEventLoop { task, cause ->
@@ -76,6 +81,13 @@
     Runtime.getRuntime().halt(0)
 }
 
+// Both libraries would otherwise start Logback, which costs each process about 200 ms of processor
+// time although the platform deployment logs through DecisionLog only.
+private fun useJdkLogging() {
+    NettyLoggerFactory.setDefaultFactory(NettyJdkLoggerFactory.INSTANCE)
+    MicrometerLoggerFactory.setDefaultFactory(MicrometerJdkLoggerFactory.INSTANCE)
+}
+
 // Prints errors in the settings file at [path]; returns null if the settings are invalid.
 private fun readNodeSettings(path: String): NodeConfiguration? {
     val text = try {
