--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyEventLoop.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyEventLoop.kt
@@ -167,7 +167,11 @@
     /** Ends all tasks, closes all connections and waits until the thread has ended. */
     override fun close() {
         scope.cancel()
-        group.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly()
+        group.shutdownGracefully(
+            0,
+            CLOSE_TIMEOUT_MILLIS,
+            TimeUnit.MILLISECONDS
+        ).syncUninterruptibly()
     }
 
     private fun writeBufferWaterMark() =
