--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakProcess.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakProcess.kt
@@ -11,8 +11,21 @@
 private const val EXIT_KILLED = 137
 private const val EXIT_TERMINATED = 143
 
+private val defaultJvmOptions = listOf(
+    "-Xmx160m",
+    "-Xss256k",
+    "-XX:+ExitOnOutOfMemoryError",
+    "-XX:+UseSerialGC",
+    "-XX:TieredStopAtLevel=1"
+)
+
 /** A daemon process with [settings]; its settings file and log are [name] in [directory]. */
-class SoakProcess(val name: String, private val directory: Path, settings: String) {
+class SoakProcess(
+    val name: String,
+    private val directory: Path,
+    settings: String,
+    private val jvmOptions: List<String> = defaultJvmOptions
+) {
     private val file = Files.createDirectories(directory).resolve("$name.ini").also {
         Files.writeString(it, settings)
     }
@@ -22,16 +35,13 @@
     /** Whether the process is running. */
     val isAlive: Boolean get() = process?.isAlive ?: false
 
+    /** Process id; fails if the process was never started. */
+    val pid: Long get() = checkNotNull(process).pid()
+
     /** Starts the process and appends its output to its log. */
     fun start() {
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
-        val command = listOf(
-            java,
-            "-Xmx160m",
-            "-Xss256k",
-            "-XX:+ExitOnOutOfMemoryError",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
+        val command = listOf(java) + jvmOptions + listOf(
             "-cp",
             System.getProperty("java.class.path"),
             "org.toucanspur.daemon.MainKt",
