Treat a response with an invalid status as broken

Cause: the HTTP decoder accepts any number as a status. With 000, 20, 2000, 0200, +200, 099, 600 and 999, an entry passed the response on to its caller, and the agent took the reply of its endpoint, the origin or the store as valid. A status that is missing or no number, and an informational response that ends, were failures already. Change: the decoder of responses rejects a status that is not three digits from 100 to 599. A repeatable call is retried elsewhere, another one gets 502.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/ResponseHeadLimiter.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/ResponseHeadLimiter.kt
@@ -8,10 +8,16 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOutboundHandlerAdapter
 import io.netty.channel.ChannelPipeline
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.LastHttpContent
 import java.net.ProtocolException
@@ -21,7 +27,46 @@
 /** Adds the handlers that decode the final responses of an HTTP connection. */
 fun ChannelPipeline.addResponseDecoder() {
     val limiter = ResponseHeadLimiter()
-    addLast(limiter, HttpClientCodec(), limiter.observer, InterimResponseFilter())
+    val decoder = StrictResponseDecoder()
+    addLast(limiter, decoder, HttpRequestEncoder(), decoder.methodRecorder)
+    addLast(limiter.observer, InterimResponseFilter())
+}
+
+/**
+ * Rejects a response whose status is not of three digits from 100 to 599. The decoder of the
+ * library accepts any number.
+ */
+private class StrictResponseDecoder : HttpResponseDecoder() {
+    // Methods of the requests that have no final response yet.
+    private val methods = ArrayDeque<HttpMethod>()
+
+    /** Records the requests, because a response to HEAD has no body. */
+    val methodRecorder = object : ChannelOutboundHandlerAdapter() {
+        override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+            if (message is HttpRequest) methods.addLast(message.method())
+            super.write(context, message, promise)
+        }
+    }
+
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(STATUS.matches(initialLine[1])) {
+            "invalid status ${initialLine[1].take(MAX_SHOWN)}"
+        }
+        return super.createMessage(initialLine)
+    }
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
+        val status = (message as HttpResponse).status()
+        if (status.codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return super.isContentAlwaysEmpty(message)
+        }
+        return methods.removeFirstOrNull() == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+    }
+
+    private companion object {
+        val STATUS = Regex("[1-5][0-9]{2}")
+        const val MAX_SHOWN = 16
+    }
 }
 
 /** Limits the bytes of a response up to the end of its head, and the time in which they arrive. */
