Bound the memory that callers can take

Cause: bodies, heads and pipelined requests were kept as they arrived, without a limit over all connections; the ports for probes, metrics and peers had none. Change: CallerMemory (core) accounts what each connection holds and names the connection to close: least progress, largest holding, and at most half of the budget for the callers of one address, route or key. Bodies are merged. A head has a limited number of fields. While a response is not written, at most the next request is decoded. Bodies and unread responses need a minimum rate after a grace period. ProbeServer and PieceServer limit connections, silence, frames and replies that wait; load reports limit their subscribers.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CallerTimeouts.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CallerTimeouts.kt
@@ -28,11 +28,40 @@
     /** Time of the last read, write or other progress. */
     val lastProgressMillis: Long,
     /** Latest deadline of a request that was received. */
-    val deadlineMillis: Long
+    val deadlineMillis: Long,
+    /** Progress of the body that is being received. */
+    val receiving: TransferRate = TransferRate(),
+    /** Progress of the complete response that the caller reads. */
+    val sending: TransferRate = TransferRate()
 )
 
+/** A transfer of [bytes] that began at [startMillis]; null if there is none to judge. */
+data class TransferRate(val startMillis: Long? = null, val bytes: Long = 0)
+
+/**
+ * Rate that a transfer must have from [graceMillis] after its start, so that a few bytes at a time
+ * do not keep it alive for as long as its caller likes; none if [bytesPerSecond] is 0.
+ */
+data class MinimumRate(val graceMillis: Long, val bytesPerSecond: Long) {
+    /** Whether [transfer] is slower. */
+    fun isMissed(transfer: TransferRate, nowMillis: Long): Boolean {
+        val start = transfer.startMillis ?: return false
+        val judgedMillis = nowMillis - start - graceMillis
+        return bytesPerSecond > 0 &&
+            judgedMillis > 0 &&
+            transfer.bytes * MILLIS_PER_SECOND < bytesPerSecond * judgedMillis
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1000
+    }
+}
+
 /** Judges connections by the limits in force, at first [initial]. */
-class CallerTimeouts(initial: CallerLimits) {
+class CallerTimeouts(
+    initial: CallerLimits,
+    private val minimumRate: MinimumRate = MinimumRate(0, 0)
+) {
     private val header = ReplaceableTimeout(initial.headerTimeoutMillis)
     private val idle = ReplaceableTimeout(initial.idleTimeoutMillis)
 
@@ -48,11 +77,13 @@
         val isIdleOver = inactiveMillis > idle.millis(nowMillis)
         return when {
             activity.isReceiving -> CallerTimeout.INCOMPLETE_REQUEST.takeIf {
-                inactiveMillis > header.millis(nowMillis)
+                inactiveMillis > header.millis(nowMillis) ||
+                    minimumRate.isMissed(activity.receiving, nowMillis)
             }
             activity.isServing -> null
             activity.unsentBytes > 0 -> CallerTimeout.UNREAD_RESPONSE.takeIf {
-                isIdleOver && nowMillis >= activity.deadlineMillis
+                (isIdleOver || minimumRate.isMissed(activity.sending, nowMillis)) &&
+                    nowMillis >= activity.deadlineMillis
             }
             else -> CallerTimeout.IDLE.takeIf { isIdleOver }
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -41,6 +41,7 @@
 import org.toucanspur.daemon.net.Datagrams
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.daemon.net.NettyHttpClient
+import org.toucanspur.daemon.net.registerDirectMemory
 import org.toucanspur.daemon.node.PlatformNode
 import org.toucanspur.daemon.node.zoneRegions
 import org.toucanspur.platform.EngineClient
@@ -114,7 +115,7 @@
 
     override fun start() {
         pauses.start(loop)
-        PieceServer(loop, ::onQuery)
+        PieceServer(loop, settings.limits.peerConnections, ::onQuery)
             .start(InetSocketAddress(settings.node.host, settings.addresses.peerPort))
         val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
         registry.gauge("toucanspur.engine.running", this) { (it.report?.running ?: 0).toDouble() }
@@ -122,7 +123,8 @@
         registry.gauge("toucanspur.pieces.held", this) {
             (it.transfer?.progress?.first ?: 0).toDouble()
         }
-        ProbeServer(loop, mapOf("/metrics" to registry::scrape))
+        registerDirectMemory(registry)
+        ProbeServer(loop, settings.limits, mapOf("/metrics" to registry::scrape))
             .start(InetSocketAddress(settings.node.host, settings.addresses.peerPort + 1))
         loop.supervise("configuration") { configurationLoop() }
         followWeightVersions()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/LoadReporter.kt
@@ -27,6 +27,7 @@
 
     /** Subscribes [entry] to reports, or renews its subscription. */
     fun onQuery(entry: InetSocketAddress) {
+        if (entry !in subscribers && subscribers.size >= SUBSCRIBERS_MAX) return
         subscribers[entry] = monotonicMillis()
     }
 
@@ -77,5 +78,9 @@
         // Entries query once a second; a subscription outlives two lost queries.
         const val SUBSCRIPTION_TIMEOUT_MILLIS = 3500L
         const val IDLE_PERIOD_MILLIS = 250L
+
+        // Several times the largest number of entries. Anyone can send a query, and each
+        // subscriber gets each report.
+        const val SUBSCRIBERS_MAX = 2048
     }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/PieceTransport.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/PieceTransport.kt
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
+import org.toucanspur.daemon.net.ConnectionLimit
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.daemon.transport.FRAME_MAX_BYTES
 import org.toucanspur.daemon.transport.ProtocolException
@@ -31,18 +32,18 @@
 // A piece takes 40 ms on a VM's link; the timeout allows for queued pieces at both ends.
 private const val FETCH_TIMEOUT_MILLIS = 2500L
 
-private fun Channel.addFrameHandlers(handler: FrameHandler) {
+private fun Channel.addFrameHandlers(handler: FrameHandler, frameMaxBytes: Int) {
     pipeline().addLast(
-        LengthFieldBasedFrameDecoder(FRAME_MAX_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES),
+        LengthFieldBasedFrameDecoder(frameMaxBytes, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES),
         LengthFieldPrepender(LENGTH_FIELD_BYTES),
         handler
     )
 }
 
-private class FrameHandler(
-    private val onFrame: (Channel, Frame) -> Unit,
-    private val onClosed: () -> Unit
-) : SimpleChannelInboundHandler<ByteBuf>() {
+private abstract class FrameHandler(private val onClosed: () -> Unit) :
+    SimpleChannelInboundHandler<ByteBuf>() {
+    abstract fun onFrame(channel: Channel, frame: Frame)
+
     override fun channelRead0(context: ChannelHandlerContext, bytes: ByteBuf) {
         try {
             onFrame(context.channel(), decodeFrame(ByteBufUtil.getBytes(bytes)))
@@ -83,7 +84,11 @@
             InetSocketAddress(vm.value, port),
             CONNECT_TIMEOUT_MILLIS
         ) {
-            it.addFrameHandlers(FrameHandler({ _, frame -> onFrame(frame) }, ::close))
+            it.addFrameHandlers(ReplyHandler(), FRAME_MAX_BYTES)
+        }
+
+        private inner class ReplyHandler : FrameHandler(::close) {
+            override fun onFrame(channel: Channel, frame: Frame) = onReply(frame)
         }
 
         init {
@@ -96,7 +101,7 @@
             return reply.await()
         }
 
-        private fun onFrame(frame: Frame) {
+        private fun onReply(frame: Frame) {
             if (frame !is PieceReply) return
             val query = PieceQuery(frame.model, frame.version, frame.index)
             pendingReplies.remove(query)?.complete(frame)
@@ -111,22 +116,73 @@
     }
 }
 
-/** Serves queries of other agents through [onQuery], which may reply asynchronously. */
+/**
+ * Serves queries of other agents through [onQuery], which may reply asynchronously. Its port can be
+ * reached by anyone, so frames, connections and queries that wait for their reply are limited.
+ */
 class PieceServer(
     private val loop: NettyEventLoop,
+    connectionsMax: Int,
     private val onQuery: (PieceQuery, (PieceReply) -> Unit) -> Unit
 ) {
+    private val connections = ConnectionLimit(loop, connectionsMax, SILENCE_MAX_MILLIS)
+
     /** Binds to [address]. */
     fun start(address: InetSocketAddress) {
         loop.listen(address) { channel ->
-            channel.addFrameHandlers(
-                FrameHandler(
-                    { from, frame ->
-                        if (frame is PieceQuery) onQuery(frame) { from.sendFrame(it) }
-                    },
-                    {}
-                )
-            )
+            channel.pipeline().addLast(connections.handler())
+            channel.addFrameHandlers(QueryHandler(), QUERY_MAX_BYTES)
         }.sync()
     }
+
+    // Passes on the queries of one connection while few of them wait and the replies are read.
+    private inner class QueryHandler : FrameHandler({}) {
+        private val waiting = ArrayDeque<PieceQuery>()
+        private var pending = 0
+
+        override fun onFrame(channel: Channel, frame: Frame) {
+            if (frame !is PieceQuery) return
+            if (waiting.size == WAITING_MAX) {
+                channel.close()
+                return
+            }
+            waiting.addLast(frame)
+            next(channel)
+        }
+
+        private fun next(channel: Channel) {
+            while (pending < PENDING_MAX && channel.isWritable && waiting.isNotEmpty()) {
+                pending++
+                onQuery(waiting.removeFirst()) { reply ->
+                    pending--
+                    if (channel.isActive) send(channel, reply)
+                    next(channel)
+                }
+            }
+        }
+
+        private fun send(channel: Channel, reply: PieceReply) {
+            val unsent = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+            if (unsent > UNREAD_MAX_BYTES) channel.close() else channel.sendFrame(reply)
+        }
+
+        override fun channelWritabilityChanged(context: ChannelHandlerContext) =
+            next(context.channel())
+    }
+
+    private companion object {
+        const val QUERY_MAX_BYTES = 4096
+
+        // A client asks for the next pieces while earlier ones are sent or not held yet, but not
+        // for a whole version from one agent.
+        const val PENDING_MAX = 32
+        const val WAITING_MAX = 256
+
+        // Replies that a client does not read. A link that carries less for 2.5 s is too slow for
+        // the time-out of the client.
+        const val UNREAD_MAX_BYTES = 32L * 1024 * 1024
+
+        // Between versions, agents may be silent for long.
+        const val SILENCE_MAX_MILLIS = 600_000L
+    }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -1,10 +1,9 @@
 /*
- * HTTP connection of a caller: buffers one request at a time and writes its response. Pipelined
- * requests wait in a bounded queue; while it is full, nothing more is read from the socket.
+ * HTTP connection of a caller: buffers one request at a time and writes its response. While a
+ * response is not written to the socket, nothing beyond the next request is decoded.
  */
 package org.toucanspur.daemon.gateway
 
-import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
@@ -28,10 +27,15 @@
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
 import java.io.IOException
+import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import org.toucanspur.core.gateway.CallerActivity
+import org.toucanspur.core.gateway.CallerHolding
 import org.toucanspur.core.gateway.HeaderLine
+import org.toucanspur.core.gateway.TransferProgress
+import org.toucanspur.core.gateway.TransferRate
 import org.toucanspur.daemon.monotonicMillis
+import org.toucanspur.daemon.net.LimitedHeaders
 
 /** A completely received request. */
 class BufferedRequest(val head: HttpRequest, val body: ByteArray, val receivedMillis: Long)
@@ -59,6 +63,15 @@
     /** Called when [connection] is open. */
     fun onConnect(connection: CallerConnection)
 
+    /** Called when what [connection] holds in memory may have changed. */
+    fun onHoldingChanged(connection: CallerConnection) = Unit
+
+    /** Whether the request of [connection], which holds [bytes], may run. */
+    fun mayRun(connection: CallerConnection, bytes: Long): Boolean = true
+
+    /** Called to refuse the request of [connection], which may not run. */
+    fun onOverBudget(connection: CallerConnection) = Unit
+
     /** Called before [connection] is closed because of [cause], which is no error of its socket. */
     fun onInternalError(connection: CallerConnection, cause: Throwable)
 }
@@ -67,9 +80,12 @@
 class CallerConnection(private val listener: CallerConnectionListener) :
     ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
-    private var head: HttpRequest? = null
-    private val bodyParts = ArrayList<ByteBuf>()
-    private var bodyBytes = 0
+
+    /** Head of the request that is being received. */
+    var head: HttpRequest? = null
+        private set
+
+    private val body = BodyBuffer()
     private var bodyMaxBytes = 0
 
     // Limits under which the heads arrived that are not handled yet.
@@ -77,6 +93,12 @@
     private val queuedMessages = ArrayDeque<Any>()
     private var isKeepAlive = true
     private var isResponding = false
+
+    // Whether a complete response has not been written to the socket.
+    private var isAwaitingWrite = false
+    private var runningBytes = 0L
+    private val receiving = TransferProgress()
+    private val sending = TransferProgress()
     private var isInputDiscarded = false
     private var lingerTimer: ScheduledFuture<*>? = null
     private var isReceivingHead = false
@@ -103,20 +125,80 @@
     private val hasPendingWrites: Boolean get() = unsentBytes > 0
 
     private val isReading: Boolean
-        get() = !isResponding && !isInputDiscarded && (head != null || isReceivingHead)
+        get() = !isResponding &&
+            !isAwaitingWrite &&
+            !isInputDiscarded &&
+            (head != null || isReceivingHead)
+
+    /** Address of the caller. */
+    val remoteHost: Any?
+        get() = (context.channel().remoteAddress() as? InetSocketAddress)?.address
+
+    /** Whether the channel is open. */
+    val isOpen: Boolean get() = context.channel().isActive
+
+    /** Whether a request is being received and nothing is due to the caller. */
+    val isReceivingOnly: Boolean get() = isReading && !hasPendingWrites
+
+    private val isBusy: Boolean
+        get() = isResponding || isAwaitingWrite || queuedMessages.isNotEmpty()
+
+    /** Whether further messages may be decoded: at most the next request while one is answered. */
+    val mayDecode: Boolean
+        get() = !isBusy ||
+            (
+                queuedMessages.size < QUEUED_MESSAGES_MAX &&
+                    queuedMessages.lastOrNull() !is LastHttpContent
+                )
+
+    private val decoderContext: ChannelHandlerContext?
+        get() = context.pipeline().context(StrictRequestDecoder::class.java)
+
+    private val decoder: StrictRequestDecoder?
+        get() = decoderContext?.handler() as? StrictRequestDecoder
+
+    /** What the connection holds in memory now. */
+    fun holding(): CallerHolding {
+        val unsent = unsentBytes
+        val headBytes = (head?.headers() as? LimitedHeaders)?.heldBytes ?: 0
+        val queued = queuedMessages.sumOf { heldBytes(it) }
+        val bytes = headBytes + body.capacityBytes + queued + runningBytes + unsent +
+            (decoder?.heldBytes ?: 0)
+        val isUnread = !isResponding && unsent > 0
+        return CallerHolding(
+            if (bytes == 0L) 0 else bytes + REQUEST_BYTES,
+            if (isUnread) sending.lastMillis else receiving.lastMillis,
+            isReading || isUnread
+        )
+    }
+
+    private fun heldBytes(message: Any): Long {
+        val headBytes = ((message as? HttpRequest)?.headers() as? LimitedHeaders)?.heldBytes ?: 0
+        return REQUEST_BYTES + headBytes +
+            ((message as? HttpContent)?.content()?.readableBytes() ?: 0)
+    }
 
     /** Whether the write buffer of the connection has room. */
     val isWritable: Boolean get() = context.channel().isWritable
 
     /** Records whether the head of a request [isReceived] in part; its time-out starts once. */
     fun onPartialHead(isReceived: Boolean) {
-        if (isReceived && !isReceivingHead) lastActiveMillis = monotonicMillis()
+        if (isReceived && !isReceivingHead) {
+            lastActiveMillis = monotonicMillis()
+            if (head == null) receiving.start(lastActiveMillis)
+        }
         isReceivingHead = isReceived
     }
 
     /** Refuses a request that was received in part, and closes the connection. */
     fun refuseIncomplete() = reject(HttpResponseStatus.REQUEST_TIMEOUT)
 
+    /** Refuses a request that is being received with a complete response, and closes. */
+    fun refuse(status: Int, headers: List<HeaderLine>, responseBody: ByteArray) {
+        discardInput()
+        writeResponse(status, headers, responseBody)
+    }
+
     /** Keeps the connection open for a response that is due by [millis]. */
     fun extendDeadline(millis: Long) {
         deadlineMillis = maxOf(deadlineMillis, millis)
@@ -125,14 +207,24 @@
     /** Returns what is under way. Bytes sent since the last call count as progress made now. */
     fun sampleActivity(): CallerActivity {
         val unsent = unsentBytes
-        if (unsent < observedUnsentBytes) lastActiveMillis = monotonicMillis()
+        if (unsent < observedUnsentBytes) {
+            lastActiveMillis = monotonicMillis()
+            sending.onBytes(observedUnsentBytes - unsent, lastActiveMillis)
+        }
         observedUnsentBytes = unsent
         return CallerActivity(
             isReceiving = isReading,
-            isServing = isResponseDue,
+            // A request that waits until its caller reads the response before is not served.
+            isServing = isResponseDue && !isAwaitingWrite,
             unsentBytes = unsent,
             lastProgressMillis = lastActiveMillis,
-            deadlineMillis = deadlineMillis
+            deadlineMillis = deadlineMillis,
+            receiving = if (head == null) {
+                TransferRate()
+            } else {
+                TransferRate(receiving.startMillis, receiving.totalBytes)
+            },
+            sending = TransferRate(sending.startMillis, sending.totalBytes)
         )
     }
 
@@ -157,15 +249,24 @@
             ReferenceCountUtil.release(message)
             return
         }
-        lastActiveMillis = monotonicMillis()
+        // Input that waits for an unread response is no progress.
+        if (!isAwaitingWrite) lastActiveMillis = monotonicMillis()
         if (message is HttpRequest) arrivedBodyMaxBytes.addLast(listener.bodyMaxBytes)
-        when {
-            isResponding || queuedMessages.isNotEmpty() -> {
-                queuedMessages.addLast(message)
-                ctx.channel().config().isAutoRead = queuedMessages.size < QUEUED_MESSAGES_MAX
-            }
-            else -> onMessage(message)
-        }
+        if (isBusy) queuedMessages.addLast(message) else onMessage(message)
+    }
+
+    override fun channelReadComplete(ctx: ChannelHandlerContext) {
+        updateReading()
+        listener.onHoldingChanged(this)
+        super.channelReadComplete(ctx)
+    }
+
+    // Stops reading while bytes have arrived that may not be decoded yet. Otherwise reading goes
+    // on, which shows when the caller disconnects.
+    private fun updateReading() {
+        val isFull =
+            !mayDecode && (decoder?.hasInput ?: (queuedMessages.size >= QUEUED_MESSAGES_MAX))
+        context.channel().config().isAutoRead = isInputDiscarded || !isFull
     }
 
     private fun onMessage(message: Any) {
@@ -191,6 +292,7 @@
             return false
         }
         head = request
+        receiving.start(monotonicMillis())
         isKeepAlive = HttpUtil.isKeepAlive(request)
         if (HttpUtil.getContentLength(request, 0L) > bodyMaxBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -210,44 +312,44 @@
             reject(HttpResponseStatus.BAD_REQUEST)
             return
         }
-        bodyBytes += content.content().readableBytes()
-        if (bodyBytes > bodyMaxBytes) {
+        val bytes = content.content().readableBytes()
+        if (body.size + bytes.toLong() > bodyMaxBytes) {
             content.release()
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         }
-        bodyParts += content.content()
+        receiving.onBytes(bytes.toLong(), monotonicMillis())
+        body.add(content.content())
+        content.release()
         if (content is LastHttpContent) dispatch()
     }
 
     private fun dispatch() {
-        val request = BufferedRequest(checkNotNull(head), readBody(), monotonicMillis())
+        val request = checkNotNull(head)
+        val bytes = body.size + ((request.headers() as? LimitedHeaders)?.heldBytes ?: 0)
+        if (!listener.mayRun(this, bytes)) {
+            listener.onOverBudget(this)
+            return
+        }
+        val buffered = BufferedRequest(request, body.take(), monotonicMillis())
         head = null
         isResponding = true
-        listener.onRequest(this, request)
+        runningBytes = bytes
+        listener.onRequest(this, buffered)
     }
 
-    private fun readBody(): ByteArray {
-        val body = ByteArray(bodyBytes)
-        var offset = 0
-        bodyParts.forEach { part ->
-            val length = part.readableBytes()
-            part.readBytes(body, offset, length)
-            offset += length
-            part.release()
-        }
-        bodyParts.clear()
-        bodyBytes = 0
-        return body
-    }
+    private fun reject(status: HttpResponseStatus) =
+        refuse(status.code(), emptyList(), ByteArray(0))
 
-    private fun reject(status: HttpResponseStatus) {
+    // Discards what has been received of a request, and everything that follows.
+    private fun discardInput() {
         isInputDiscarded = true
         head = null
         isKeepAlive = false
-        bodyParts.forEach { it.release() }
-        bodyParts.clear()
-        writeResponse(status.code(), emptyList(), ByteArray(0))
+        body.clear()
+        releaseQueuedMessages()
+        // The decoder would keep an incomplete head.
+        decoderContext?.let { it.pipeline().remove(it.handler()) }
     }
 
     /** Writes a complete response. */
@@ -297,7 +399,8 @@
 
     private fun setConnectionHeader(response: HttpResponse) {
         // Requests that have been read already get their responses first.
-        if (listener.isClosing && queuedMessages.isEmpty()) isKeepAlive = false
+        val hasFurther = queuedMessages.isNotEmpty() || decoder?.hasInput == true
+        if (listener.isClosing && !hasFurther) isKeepAlive = false
         if (!isKeepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
@@ -305,18 +408,24 @@
 
     private fun endResponse(future: ChannelFuture) {
         isResponding = false
+        runningBytes = 0
         lastActiveMillis = monotonicMillis()
+        sending.start(lastActiveMillis)
         listener.onResponseEnd(this)
         if (!isKeepAlive) {
-            isInputDiscarded = true
-            releaseQueuedMessages()
+            discardInput()
             context.channel().config().isAutoRead = true
             future.addListener { closeAfterInput(it.isSuccess) }
             return
         }
-        // Deferred, because the code that ends the response may still have cleanup to do.
-        context.executor().execute {
-            runCatching(::readQueuedMessages).onFailure(context.pipeline()::fireExceptionCaught)
+        isAwaitingWrite = true
+        future.addListener {
+            isAwaitingWrite = false
+            lastActiveMillis = monotonicMillis()
+            // Deferred, because the code that ends the response may still have cleanup to do.
+            context.executor().execute {
+                runCatching(::readQueuedMessages).onFailure(context.pipeline()::fireExceptionCaught)
+            }
         }
     }
 
@@ -339,8 +448,12 @@
     }
 
     private fun readQueuedMessages() {
-        while (!isResponding && queuedMessages.isNotEmpty()) onMessage(queuedMessages.removeFirst())
-        if (queuedMessages.isEmpty()) context.channel().config().isAutoRead = true
+        while (!isResponding && !isAwaitingWrite && queuedMessages.isNotEmpty()) {
+            onMessage(queuedMessages.removeFirst())
+        }
+        decoderContext?.let { (it.handler() as StrictRequestDecoder).resume(it) }
+        updateReading()
+        listener.onHoldingChanged(this)
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) =
@@ -349,8 +462,7 @@
     override fun channelInactive(ctx: ChannelHandlerContext) {
         lingerTimer?.cancel(false)
         releaseQueuedMessages()
-        bodyParts.forEach { it.release() }
-        bodyParts.clear()
+        body.clear()
         listener.onDisconnect(this)
     }
 
@@ -361,7 +473,11 @@
     }
 
     private companion object {
-        const val QUEUED_MESSAGES_MAX = 16
+        // Messages of the next request that wait: its head and some of its body.
+        const val QUEUED_MESSAGES_MAX = 4
+
+        // Objects of a request apart from its fields and its body.
+        const val REQUEST_BYTES = 2048L
 
         // Several round trips, for callers that close as soon as they have read their response.
         const val LINGER_MILLIS = 2000L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -25,6 +25,7 @@
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.daemon.net.NettyHttpClient
+import org.toucanspur.daemon.net.registerDirectMemory
 import org.toucanspur.daemon.net.socketAddress
 import org.toucanspur.daemon.node.PlatformNode
 import org.toucanspur.platform.PlatformStore
@@ -87,16 +88,18 @@
         )
         startLongPollWatches()
         server.start(socketAddress(settings.addresses.callers))
-        ProbeServer(loop, emptyMap(), codec.readinessPath, ::isReady)
+        ProbeServer(loop, settings.limits, emptyMap(), codec.readinessPath, ::isReady)
             .start(socketAddress(settings.addresses.readiness))
         val metrics = InetSocketAddress(settings.node.host, settings.addresses.peerPort + 1)
-        ProbeServer(loop, mapOf("/metrics" to registry::scrape)).start(metrics)
+        ProbeServer(loop, settings.limits, mapOf("/metrics" to registry::scrape)).start(metrics)
         registry.gauge("toucanspur.requests.active", dispatcher) { it.activeCount.toDouble() }
         registry.gauge("toucanspur.responses.buffered.bytes", dispatcher) {
             it.bufferedBytes.toDouble()
         }
         registry.gauge("toucanspur.callers.connections", server) { it.connectionCount.toDouble() }
         registry.gauge("toucanspur.callers.unsent.bytes", server) { it.unsentBytes.toDouble() }
+        registry.gauge("toucanspur.callers.held.bytes", server) { it.heldBytes.toDouble() }
+        registerDirectMemory(registry)
         registry.gauge("toucanspur.fingerprints.refused", state) {
             it.crashSuspects.refusedCount.toDouble()
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
@@ -41,6 +41,10 @@
         if (isCut) registry.counter("toucanspur.callers.cut").increment()
     }
 
+    /** Records a connection that was refused or closed because of a shortage of [reason]. */
+    fun onShed(reason: String) =
+        registry.counter("toucanspur.callers.shed", "reason", reason).increment()
+
     /**
      * Records the time from sending a request to its response head. Only requests that were allowed
      * to begin on an older version than the newest target version are recorded.
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -1,35 +1,24 @@
 /*
- * HTTP servers of an entry node: for callers, and for probes and metrics.
+ * HTTP server of an entry node for callers.
  */
 package org.toucanspur.daemon.gateway
 
-import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpObjectAggregator
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
-import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpServerCodec
-import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
 import java.net.InetSocketAddress
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.CallerActivity
+import org.toucanspur.core.gateway.CallerHolding
+import org.toucanspur.core.gateway.CallerMemory
 import org.toucanspur.core.gateway.CallerTimeout
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
+import org.toucanspur.schema.LimitsSection
+import org.toucanspur.schema.RequestId
 
 /** Accepts caller connections and passes their requests to [dispatcher]. */
 class GatewayServer(
@@ -38,8 +27,13 @@
     private val dispatcher: CallDispatcher,
     private val connectionsMax: Int,
     private val log: DecisionLog,
-    private val metrics: GatewayMetrics
+    private val metrics: GatewayMetrics,
+    memoryMaxBytes: Long = callerMemoryBytes(state.settings.limits)
 ) : CallerConnectionListener {
+    private val headLimits =
+        HeadLimits(state.settings.limits.headerFields) { state.callerLimits.headerMaxBytes }
+    private val memory = CallerMemory<CallerConnection>(memoryMaxBytes)
+    private var isShedding = false
     private val calls = HashMap<CallerConnection, Call>()
     private val connections = LinkedHashSet<CallerConnection>()
     private var listener: Channel? = null
@@ -60,21 +54,105 @@
 
     private fun initializeChannel(channel: Channel) {
         val connection = CallerConnection(this)
+        channel.config().setRecvByteBufAllocator(callerReceiveBuffers())
         channel.pipeline().addLast(
-            StrictRequestDecoder(connection) { state.callerLimits.headerMaxBytes },
+            StrictRequestDecoder(connection, headLimits),
             HttpResponseEncoder(),
             connection
         )
     }
 
     override fun onConnect(connection: CallerConnection) {
-        if (connections.size >= connectionsMax) {
+        if (connections.size >= connectionsMax && !closeStalled()) {
             connection.close()
             return
         }
         connections += connection
     }
 
+    // Closes the connection whose request has been incomplete for longest without progress.
+    private fun closeStalled(): Boolean {
+        val now = monotonicMillis()
+        val stalled = connections.filter { it.isReceivingOnly }
+            .map { it to it.holding().progressMillis }
+            .filter { (_, progressMillis) -> now - progressMillis > STALLED_MILLIS }
+            .minByOrNull { (_, progressMillis) -> progressMillis }
+            ?.first ?: return false
+        report(SHED_CONNECTIONS, stalled)
+        connections -= stalled
+        stalled.close()
+        return true
+    }
+
+    override fun onHoldingChanged(connection: CallerConnection) {
+        if (connection in connections && connection.isOpen) {
+            val holding = connection.holding()
+            memory.update(connection, holding, groupsOf(connection, holding))
+        } else {
+            memory.remove(connection)
+        }
+        // A refusal changes what its connection holds.
+        if (isShedding) return
+        isShedding = true
+        try {
+            generateSequence { memory.nextToClose(monotonicMillis()) }.forEach(::shed)
+        } finally {
+            isShedding = false
+        }
+    }
+
+    // Callers at one route and with one key, for requests that are larger than normal ones.
+    private fun groupsOf(connection: CallerConnection, holding: CallerHolding): Set<Any> {
+        val head = connection.head?.takeIf { holding.bytes > CallerMemory.NORMAL_BYTES }
+        val host = connection.remoteHost
+        if (head == null) return setOfNotNull(host)
+        val headers = head.headers()
+        val routeName = state.configuration
+            ?.route(headers.get(HttpHeaderNames.HOST).orEmpty(), head.uri())?.name
+        val key = dispatcher.codec.decode { headers.get(it) }.key
+        return setOfNotNull(host, "route" to routeName, key?.let { "key" to it })
+    }
+
+    private fun shed(connection: CallerConnection) {
+        report(SHED_MEMORY, connection)
+        val isReceiving = connection.isReceivingOnly
+        memory.remove(connection)
+        if (isReceiving) {
+            refuseOverBudget(connection)
+        } else {
+            connections -= connection
+            connection.close()
+        }
+        memory.remove(connection)
+    }
+
+    private fun refuseOverBudget(connection: CallerConnection) {
+        val head = connection.head
+        val id = head?.let { dispatcher.codec.decode { name -> it.headers().get(name) }.requestId }
+        val refusal = Refusal(UNAVAILABLE, "entry holds too much of other requests", RETRY_MILLIS)
+        val headers = refusal.headers(dispatcher.codec, id ?: RequestId(""))
+        metrics.onRefused(refusal.status)
+        connection.refuse(refusal.status, headers, refusal.body())
+    }
+
+    private fun report(reason: String, connection: CallerConnection) {
+        val holding = connection.holding()
+        metrics.onShed(reason)
+        log.event(EventCode.CALLER_SHED, isEssential = false) {
+            put("reason", reason)
+            put("heldBytes", holding.bytes)
+            put("stalledMillis", monotonicMillis() - holding.progressMillis)
+            put("totalHeldBytes", memory.totalBytes)
+        }
+    }
+
+    override fun mayRun(connection: CallerConnection, bytes: Long): Boolean = memory.admits(bytes)
+
+    override fun onOverBudget(connection: CallerConnection) {
+        report(SHED_RUNNING, connection)
+        refuseOverBudget(connection)
+    }
+
     override fun onRequest(connection: CallerConnection, request: BufferedRequest) {
         val call = dispatcher.onRequest(connection, request) ?: return
         connection.extendDeadline(call.deadlineMillis)
@@ -84,10 +162,12 @@
     // A connection may stay open for long, so it does not keep what the call has buffered.
     override fun onResponseEnd(connection: CallerConnection) {
         calls -= connection
+        onHoldingChanged(connection)
     }
 
     override fun onDisconnect(connection: CallerConnection) {
         connections -= connection
+        memory.remove(connection)
         calls.remove(connection)?.let(dispatcher::onDisconnect)
     }
 
@@ -96,7 +176,10 @@
     }
 
     internal fun closeTimedOut() = connections.toList().forEach { connection ->
-        if (expired(connection) == null) return@forEach
+        val expired = expired(connection)
+        // Responses are read without an event of their connection.
+        if (connection in connections) onHoldingChanged(connection)
+        if (expired == null) return@forEach
         // After a pause or a long task, the selector has not been asked since the request arrived.
         connection.transfer()
         if (connection in connections) expired(connection)?.let { close(connection, it) }
@@ -126,7 +209,8 @@
     }
 
     override fun onInternalError(connection: CallerConnection, cause: Throwable) {
-        log.event(EventCode.CALLER_FAILED) {
+        // A shortage of memory may fail very many connections.
+        log.event(EventCode.CALLER_FAILED, isEssential = cause !is OutOfMemoryError) {
             put("request", calls[connection]?.takeUnless { it.isFinished }?.id?.value ?: "")
             put("cause", cause.toString())
             put("at", cause.stackTrace.firstOrNull().toString())
@@ -153,106 +237,40 @@
     /** Number of response bytes that the sockets of callers have not accepted yet. */
     val unsentBytes: Long get() = connections.sumOf { it.unsentBytes }
 
+    /** Bytes that the connections of callers hold in memory. */
+    val heldBytes: Long get() = memory.totalBytes
+
     /** Number of open connections. */
     val connectionCount: Int get() = connections.size
 
     private companion object {
         const val TIMEOUT_CHECK_MILLIS = 500L
-    }
-}
-
-/**
- * Rejects a request with both Content-Length and Transfer-Encoding: two parsers may disagree on
- * where it ends, which allows request smuggling. Each request is judged by the value of
- * [currentHeaderMaxBytes] when it begins to arrive; a decoder has one limit, so it is replaced.
- */
-private class StrictRequestDecoder(
-    private val connection: CallerConnection,
-    private val headerMaxBytes: Int,
-    private val currentHeaderMaxBytes: () -> Int
-) : HttpRequestDecoder(
-    HttpDecoderConfig()
-        .setMaxInitialLineLength(headerMaxBytes)
-        .setMaxHeaderSize(headerMaxBytes)
-) {
-    private var isInsideHead = false
-    private var isInsideBody = false
-
-    constructor(connection: CallerConnection, currentHeaderMaxBytes: () -> Int) :
-        this(connection, currentHeaderMaxBytes(), currentHeaderMaxBytes)
-
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        val isBetweenRequests = !isInsideHead && !isInsideBody
-        if (isBetweenRequests && currentHeaderMaxBytes() != headerMaxBytes) {
-            val successor = StrictRequestDecoder(connection, currentHeaderMaxBytes)
-            context.pipeline().replace(this, null, successor)
-            context.fireChannelRead(message)
-            return
-        }
-        super.channelRead(context, message)
-        if (actualReadableBytes() > 0 && !isInsideBody) isInsideHead = true
-        connection.onPartialHead(isInsideHead)
-    }
+        const val UNAVAILABLE = 503
 
-    override fun createMessage(initialLine: Array<String>): HttpMessage {
-        isInsideHead = true
-        return super.createMessage(initialLine)
-    }
+        // Connections that were refused together return at a time when others have ended.
+        const val RETRY_MILLIS = 1000L
 
-    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
-        super.decode(context, buffer, out)
-        val last = out.lastOrNull() ?: return
-        isInsideHead = false
-        isInsideBody = last !is LastHttpContent
+        // A connection that made progress within this time is not closed for a new one.
+        const val STALLED_MILLIS = 1000L
+        const val SHED_MEMORY = "memory"
+        const val SHED_RUNNING = "memory of running requests"
+        const val SHED_CONNECTIONS = "connections"
     }
-
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
-        throw IllegalArgumentException("both Content-Length and Transfer-Encoding")
 }
 
-/** Serves [pages] by path, and a readiness probe at [path]: 200 if [isReady], otherwise 503. */
-class ProbeServer(
-    private val loop: NettyEventLoop,
-    private val pages: Map<String, () -> String>,
-    private val path: String = "",
-    private val isReady: () -> Boolean = { true }
-) {
-    /** Starts listening on [address]. */
-    fun start(address: InetSocketAddress) {
-        loop.listen(address) {
-            it.pipeline().addLast(
-                HttpServerCodec(),
-                HttpObjectAggregator(REQUEST_MAX_BYTES),
-                Handler()
-            )
-        }.sync()
-    }
+private const val HEAP_SHARE = 4
+private const val MIB = 1024L * 1024
 
-    private inner class Handler : SimpleChannelInboundHandler<FullHttpRequest>() {
-        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-            val target = request.uri().substringBefore('?')
-            val page = pages[target]
-            val status = when {
-                page != null -> HttpResponseStatus.OK
-                target != path -> HttpResponseStatus.NOT_FOUND
-                isReady() -> HttpResponseStatus.OK
-                else -> HttpResponseStatus.SERVICE_UNAVAILABLE
-            }
-            val text = page?.invoke().orEmpty()
-            val content = Unpooled.copiedBuffer(text, Charsets.UTF_8)
-            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
-            val future = context.writeAndFlush(response)
-            if (!HttpUtil.isKeepAlive(request)) future.addListener(ChannelFutureListener.CLOSE)
-        }
+private fun callerMemoryBytes(limits: LimitsSection): Long = if (limits.callerMemoryMib > 0) {
+    limits.callerMemoryMib * MIB
+} else {
+    Runtime.getRuntime().maxMemory() / HEAP_SHARE
+}
 
-        @Deprecated("Deprecated in Java")
-        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            context.close()
-        }
-    }
+// A few unread bytes keep the whole receive buffer, which by default has up to 64 KiB.
+private const val RECEIVE_MIN_BYTES = 64
+private const val RECEIVE_INITIAL_BYTES = 2048
+private const val RECEIVE_MAX_BYTES = 16 * 1024
 
-    private companion object {
-        const val REQUEST_MAX_BYTES = 65_536
-    }
-}
+private fun callerReceiveBuffers() =
+    AdaptiveRecvByteBufAllocator(RECEIVE_MIN_BYTES, RECEIVE_INITIAL_BYTES, RECEIVE_MAX_BYTES)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -15,6 +15,7 @@
 import org.toucanspur.core.gateway.Fleet
 import org.toucanspur.core.gateway.Freshness
 import org.toucanspur.core.gateway.LimitExchange
+import org.toucanspur.core.gateway.MinimumRate
 import org.toucanspur.core.gateway.RequestPlacer
 import org.toucanspur.core.gateway.RetryBudgetLimits
 import org.toucanspur.core.gateway.RetryBudgetShare
@@ -69,11 +70,19 @@
     val callerLimits: CallerLimits get() = configuration?.limits ?: initialLimits
 
     /** Time-outs of callers' connections. */
-    var callerTimeouts = CallerTimeouts(initialLimits)
+    var callerTimeouts = callerTimeouts(initialLimits)
         private set
 
+    private fun callerTimeouts(limits: CallerLimits) = CallerTimeouts(
+        limits,
+        MinimumRate(
+            settings.limits.bodyGraceMillis.toLong(),
+            settings.limits.bodyMinBytesPerSecond.toLong()
+        )
+    )
+
     private fun onLimits(limits: CallerLimits, isFirst: Boolean) = if (isFirst) {
-        callerTimeouts = CallerTimeouts(limits)
+        callerTimeouts = callerTimeouts(limits)
     } else {
         callerTimeouts.onLimits(limits, monotonicMillis())
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -45,6 +45,7 @@
 /** Time in which a change of the configuration has to be in force at a [TestGateway]. */
 const val CONFIGURATION_BOUND_MILLIS = 30_000
 private const val RESPONSE_MEMORY_BYTES = 20L * 1024 * 1024
+private const val CALLER_MEMORY_BYTES = 40L * 1024 * 1024
 private val service = ServiceId("s")
 private val engineService = ServiceId("engine")
 private val model = ModelId("m")
@@ -58,7 +59,7 @@
     AddressesSection("$host:0", "$host:0", peerPort),
     StoreSection("127.0.0.1:1", 1200),
     EngineSection("none", ServiceId("none")),
-    LimitsSection(430, 4200, 1000.0),
+    LimitsSection(430, 4200, 1000.0, 0, 500, 30_000, 4096, 64, 256),
     BoundsSection(
         drainMillis = 2000,
         graceSeconds = 8,
@@ -146,7 +147,8 @@
     endpointsMax: Int = 2,
     limits: CallerLimits = CallerLimits(16_384, bodyMaxBytes, 3000, 15_000),
     responseMemoryBytes: Long = RESPONSE_MEMORY_BYTES,
-    configurationAgeMillis: Long = 0
+    configurationAgeMillis: Long = 0,
+    callerMemoryBytes: Long = CALLER_MEMORY_BYTES
 ) {
     /** Names of the tasks that failed. */
     val failedTasks = CopyOnWriteArrayList<String>()
@@ -209,7 +211,8 @@
             dispatcher,
             connectionsMax = 100,
             events.log,
-            metrics
+            metrics,
+            callerMemoryBytes
         )
         port = server.start(InetSocketAddress("127.0.0.1", 0)).port
     }
