Give the stand-in endpoint of CallerCrowdTest an accept queue for its crowd

Cause: the endpoint accepted 50 waiting connections while 150 callers had a request there, so the kernel dropped connection requests and the entry rightly reported that no endpoint could serve. Change: a queue of 1024. Crowds and bounds are unchanged.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/CallerCrowdTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/CallerCrowdTest.kt
@@ -47,6 +47,9 @@
 private const val HEADS = 150
 private const val FIELDS = 3200
 private const val PIPELINES = 150
+
+// All callers of a crowd may have a request at the endpoint, which takes a connection for each.
+private const val ENDPOINT_BACKLOG = 1024
 private const val PIPELINED_REQUESTS = 2000
 private const val SLOW_CALLERS = 90
 private const val SLOW_HEAD_BYTES = 40
@@ -105,7 +108,7 @@
 
 /** An endpoint with a small response, and a large one at `/large/`. */
 private class SimpleEndpoint : AutoCloseable {
-    private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
+    private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), ENDPOINT_BACKLOG)
     private val executor = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
     val address = "127.0.0.1:${server.address.port}"
 
--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
@@ -130,7 +130,7 @@
         AddressesSection("127.0.0.1:$callersPort", "127.0.0.1:$readinessPort", peerPort),
         StoreSection(store.address, 1200),
         EngineSection("none", ServiceId("none")),
-        LimitsSection(430, 4200, 1000.0),
+        LimitsSection(430, 4200, 1000.0, 0, 500, 30_000, 4096, 64, 256),
         BoundsSection(2000, graceSeconds, 60_000, 5000, 2000, 3000, 8000, 0.2, 10, 100, 5, 120)
     )
 
