Keep normal requests out of the shares of groups

Cause: all callers may have one address (a proxy), so a share of half of the budget for an address could refuse normal requests that arrive steadily. Each update also went through all groups. A test of the minimum rate of transfers.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CallerMemory.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CallerMemory.kt
@@ -20,6 +20,9 @@
 
     private val closableByGroup = HashMap<Any, Group>()
 
+    // Groups over their share, kept apart so that an update within the budget searches nothing.
+    private val groupsOverShare = LinkedHashSet<Any>()
+
     /** Bytes that all connections hold. */
     var totalBytes = 0L
         private set
@@ -62,6 +65,12 @@
             group.bytes += bytes
             group.members += sign
             if (group.members == 0) closableByGroup -= key
+            // A single connection may use what nobody else needs.
+            if (group.members > 1 && group.bytes > maxBytes / GROUP_SHARE) {
+                groupsOverShare += key
+            } else {
+                groupsOverShare -= key
+            }
         }
     }
 
@@ -74,9 +83,7 @@
 
     /** The next connection to close; null while the budget and the shares of groups are kept. */
     fun nextToClose(nowMillis: Long): H? {
-        // A single connection may use what nobody else needs.
-        val group = closableByGroup.entries
-            .firstOrNull { it.value.members > 1 && it.value.bytes > maxBytes / GROUP_SHARE }?.key
+        val group = groupsOverShare.firstOrNull()
         if (group == null && totalBytes <= maxBytes) return null
         return entries.entries
             .filter { it.value.holding.isClosable && (group == null || group in it.value.groups) }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CallerTimeoutsTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CallerTimeoutsTest.kt
@@ -90,6 +90,41 @@
                 CallerTimeouts(limits()).expired(serving, Long.MAX_VALUE) shouldBe null
             }
         }
+        // Guards against transfers that a few bytes at a time keep alive for ever.
+        describe("a transfer") {
+            val rate = MinimumRate(graceMillis = 30_000, bytesPerSecond = 1000)
+            val receiving = idle.copy(isReceiving = true)
+            it("ends after the grace period if it is too slow, however recent its last bytes") {
+                val timeouts = CallerTimeouts(limits(), rate)
+                val slow = receiving.copy(
+                    lastProgressMillis = 40_000,
+                    receiving = TransferRate(0, 9_999)
+                )
+                timeouts.expired(slow, 39_000) shouldBe null
+                timeouts.expired(slow, 40_000) shouldBe CallerTimeout.INCOMPLETE_REQUEST
+            }
+            it("goes on within the grace period and at the minimum rate") {
+                val timeouts = CallerTimeouts(limits(), rate)
+                val recent = receiving.copy(lastProgressMillis = 30_000)
+                timeouts.expired(recent.copy(receiving = TransferRate(0, 1)), 30_000) shouldBe null
+                val steady = recent.copy(
+                    lastProgressMillis = 600_000,
+                    receiving = TransferRate(0, 570_000)
+                )
+                timeouts.expired(steady, 600_000) shouldBe null
+            }
+            it("of an unread response ends once its deadline has passed too") {
+                val timeouts = CallerTimeouts(limits(), rate)
+                val slow = idle.copy(
+                    unsentBytes = 1,
+                    lastProgressMillis = 59_999,
+                    deadlineMillis = 60_000,
+                    sending = TransferRate(0, 100)
+                )
+                timeouts.expired(slow, 59_999) shouldBe null
+                timeouts.expired(slow, 60_000) shouldBe CallerTimeout.UNREAD_RESPONSE
+            }
+        }
         describe("a response that its caller has not read") {
             val unread = idle.copy(unsentBytes = 1, deadlineMillis = 60_000)
             it("keeps its connection open until its deadline") {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -101,11 +101,12 @@
         }
     }
 
-    // Callers at one route and with one key, for requests that are larger than normal ones.
+    // Callers at one address and route and with one key. Normal requests are in no group: many
+    // callers may have one address, and their requests together fit into the budget.
     private fun groupsOf(connection: CallerConnection, holding: CallerHolding): Set<Any> {
         val head = connection.head?.takeIf { holding.bytes > CallerMemory.NORMAL_BYTES }
+        if (head == null) return emptySet()
         val host = connection.remoteHost
-        if (head == null) return setOfNotNull(host)
         val headers = head.headers()
         val routeName = state.configuration
             ?.route(headers.get(HttpHeaderNames.HOST).orEmpty(), head.uri())?.name
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/net/InvalidReplyTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/net/InvalidReplyTest.kt
@@ -64,8 +64,9 @@
         }
         describe("a valid reply") {
             it("is returned after an informational one") {
-                val reply = "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n"
-                callFor(reply).get()?.status shouldBe 404
+                val informational = "HTTP/1.1 103 Hints\r\n\r\n"
+                val final = "HTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n"
+                callFor(informational + final).get()?.status shouldBe 404
             }
         }
     })
