--- a/core/src/main/kotlin/org/toucanspur/core/gateway/TrafficConfiguration.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/TrafficConfiguration.kt
@@ -82,6 +82,16 @@
 /** Server from which weight versions are downloaded. */
 data class WeightOrigin(val address: String, val zone: ZoneId?, val connectionsMax: Int)
 
+/** How many endpoints the platform may run for a service, by orders of this system. */
+data class ServiceScaling(
+    /** Lowest number in each availability zone. */
+    val minimum: Int,
+    /** Highest number in each availability zone. */
+    val maximum: Int,
+    /** Time after an order until a new endpoint serves. */
+    val bootMillis: Long
+)
+
 /** Group of interchangeable endpoints. */
 data class TrafficService(
     val id: ServiceId,
@@ -91,7 +101,9 @@
     val coldRequestsPerSecond: Double,
     val engine: EngineTiming?,
     val models: List<ServedModel>,
-    val origin: WeightOrigin?
+    val origin: WeightOrigin?,
+    /** Null when the number of endpoints is fixed. */
+    val scaling: ServiceScaling? = null
 )
 
 /** Size limits and timeouts for requests of callers. */
