--- a/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
@@ -49,7 +49,15 @@
 
 /** Decisions that must stay the same after a change of holder; the lease object contains them. */
 @Serializable
-data class DutyRecord(val windows: List<RecordedWindow> = emptyList())
+data class DutyRecord(
+    val windows: List<RecordedWindow> = emptyList(),
+    /** Last window that is final; an earlier one that [windows] lacks is not reported. */
+    val finalUntil: Long = 0,
+    /** Era of the store in which the record was written; null while none is known. */
+    val era: Long? = null,
+    /** Numbers of endpoints ordered last. */
+    val orders: List<EndpointOrder> = emptyList()
+)
 
 /** Final [counts] of [window]; [isAccepted] once the platform has confirmed them. */
 @Serializable
@@ -58,3 +66,7 @@
     val counts: Map<OrganisationId, Long>,
     val isAccepted: Boolean
 )
+
+/** Order for [count] endpoints of [service] in [zone]. */
+@Serializable
+data class EndpointOrder(val service: ServiceId, val zone: ZoneId, val count: Int)
