Add the conditional write, the operations API client and the settings of duties

Cause: the lease for duties needs one object that is read and written by revision, and calls that must not arrive after the lease has expired. Change: PlatformStore reads and conditionally writes single objects and gives the store's era; HttpCall has headers and a validity, with which a connection is closed by a reset; OperationsClient makes the calls; section [duties] in the schema and the template.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
@@ -31,6 +31,7 @@
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.schema.AddressesSection
 import org.toucanspur.schema.BoundsSection
+import org.toucanspur.schema.DutiesSection
 import org.toucanspur.schema.EngineSection
 import org.toucanspur.schema.LimitsSection
 import org.toucanspur.schema.NodeConfiguration
@@ -131,7 +132,8 @@
         StoreSection(store.address, 1200),
         EngineSection("none", ServiceId("none")),
         LimitsSection(430, 4200, 1000.0),
-        BoundsSection(2000, graceSeconds, 60_000, 5000, 2000, 3000, 8000, 0.2, 10, 100, 5, 120)
+        BoundsSection(2000, graceSeconds, 60_000, 5000, 2000, 3000, 8000, 0.2, 10, 100, 5, 120),
+        DutiesSection("none", "none", 10, 3000, 300, 5, 0.05, 10)
     )
 
     fun putConfiguration(version: Int, service: String, keys: String = "\"k\"") = store.put(
--- a/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
@@ -22,6 +22,12 @@
     /** Record read at the take-over or written since; null before the first take-over. */
     val record: DutyRecord?
 
+    /**
+     * Time of day up to which the [record] may lack windows that were reported, because the store
+     * was restored from an older copy. A window that ended before it must not be made final.
+     */
+    val recordGapUntilMillis: Long get() = 0
+
     /** Stores [record] with a renewal; true once the write is confirmed and the lease still held. */
     suspend fun store(record: DutyRecord): Boolean
 }
--- a/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/HttpCaller.kt
@@ -16,6 +16,11 @@
  * unless [transferLimits] allow it more time. [onBytes] is called when bytes of it have arrived.
  * While there is no connection, a further one is requested every [connectRetryMillis], and the
  * first one that is established is used.
+ *
+ * [validMillis] is for calls that must not arrive once it is not positive any more. Such a call is
+ * sent only if the rest of its time-out is within that time. It is evaluated again while the call
+ * is pending. The connection is closed with a reset in any case, also if the process is killed, so
+ * that the system sends no bytes that wait in its buffers.
  */
 class HttpCall(
     val address: String,
@@ -30,7 +35,9 @@
     val connectTimeoutMillis: Long = CONNECT_TIMEOUT_MILLIS,
     val connectRetryMillis: Long? = null,
     val transferLimits: TransferLimits? = null,
-    val onBytes: () -> Unit = {}
+    val onBytes: () -> Unit = {},
+    val headers: Map<String, String> = emptyMap(),
+    val validMillis: (() -> Long)? = null
 ) {
     private companion object {
         // A listing of the store is about 1 MB, and so is a configuration.
--- a/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
@@ -48,8 +48,8 @@
     data class Unavailable(override val message: String) : FeedFailure
 }
 
-/** Kinds of objects that the system watches. */
-enum class ObjectKind { CONFIGURATION, ENDPOINTS, EVACUATIONS, WEIGHT_VERSIONS, ENTRIES }
+/** Kinds of objects that the system reads. */
+enum class ObjectKind { CONFIGURATION, ENDPOINTS, EVACUATIONS, WEIGHT_VERSIONS, ENTRIES, DUTIES }
 
 /**
  * Watch of [kind]: waits up to [waitMillis] for changes after [afterRevision]. Each change has the
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/net/NettyHttpClient.kt
@@ -16,6 +16,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -40,6 +41,9 @@
 // Idle connections kept for one address, for calls that are made at the same time.
 private const val IDLE_CONNECTIONS_MAX = 2
 
+// Well below the time after a resumption in which calls do not count, 300 ms.
+private const val VALIDITY_CHECK_MILLIS = 50L
+
 /** Makes HTTP calls on [loop]; confined to its thread. */
 class NettyHttpClient(private val loop: NettyEventLoop) : HttpCaller {
     private val idleChannels = HashMap<String, ArrayDeque<Channel>>()
@@ -102,6 +106,9 @@
         private fun connect() {
             val leftMillis = maxOf(1, connectDueMillis - monotonicMillis()).toInt()
             val future = loop.connect(socketAddress(call.address), leftMillis) {
+                // With a linger time of 0, closing resets the connection, also when the system
+                // closes it for a process that was killed.
+                if (call.validMillis != null) it.config().setOption(ChannelOption.SO_LINGER, 0)
                 it.pipeline().addLast(ByteCounter())
                 it.pipeline().addResponseDecoder()
                 it.pipeline().addLast(
@@ -126,6 +133,7 @@
                 connecting.toList().forEach { it.close() }
                 timeout.onConnected(monotonicMillis())
                 send()
+                scheduleValidityCheck()
             } else {
                 opened.close()
                 if (isNeeded) fail(future.cause().toString())
@@ -159,7 +167,8 @@
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, length)
                 call.contentType?.let { request.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
             }
-            if (!call.isStillValid()) {
+            call.headers.forEach { (name, value) -> request.headers().set(name, value) }
+            if (!call.isStillValid() || !staysValid()) {
                 finish(Err(HttpFailure.Outdated))
                 return
             }
@@ -170,6 +179,21 @@
             }
         }
 
+        private fun staysValid(): Boolean {
+            val validMillis = call.validMillis ?: return true
+            return validMillis() >= maxOf(1, timeout.dueMillis - monotonicMillis())
+        }
+
+        // The time-out does not pass while the VM is suspended, and the validity may end early.
+        private fun scheduleValidityCheck() {
+            val validMillis = call.validMillis ?: return
+            if (isDone) return
+            loop.schedule("call validity", VALIDITY_CHECK_MILLIS) {
+                if (!isDone && validMillis() <= 0) fail("no longer valid")
+                scheduleValidityCheck()
+            }
+        }
+
         fun fail(reason: String) = finish(
             Err(
                 if (isSent) HttpFailure.NoResponse(reason) else HttpFailure.NotConnected(reason)
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -22,6 +22,7 @@
 import org.toucanspur.schema.AddressesSection
 import org.toucanspur.schema.BoundsSection
 import org.toucanspur.schema.EndpointId
+import org.toucanspur.schema.DutiesSection
 import org.toucanspur.schema.EngineSection
 import org.toucanspur.schema.LimitsSection
 import org.toucanspur.schema.LoadReport
@@ -36,6 +37,9 @@
 import org.toucanspur.schema.VmId
 import org.toucanspur.schema.ZoneId
 
+/** Settings of a deployment without an operations API. */
+val noDuties = DutiesSection("none", "none", 10, 3000, 300, 5, 0.05, 10)
+
 /** Time limit of the calls of a [TestGateway]. */
 const val CALL_SECONDS = 20
 
@@ -53,7 +57,11 @@
 val testEngine = EngineTiming(8, 1.0, 0.1, 0.0, 30_000.0, 6, 100, 50, 100_000)
 
 /** Settings of an entry on [host] that exchanges datagrams on [peerPort]. */
-fun entrySettings(host: String = "127.0.0.1", peerPort: Int = 1) = NodeConfiguration(
+fun entrySettings(
+    host: String = "127.0.0.1",
+    peerPort: Int = 1,
+    duties: DutiesSection = noDuties
+) = NodeConfiguration(
     NodeSection(NodeRole.ENTRY, VmId("vm-$host"), host, ZoneId("z"), RegionId("r"), "z:r"),
     AddressesSection("$host:0", "$host:0", peerPort),
     StoreSection("127.0.0.1:1", 1200),
@@ -72,7 +80,8 @@
         retryBudgetAllowance = 100,
         coldAllowance = 5,
         eventRelayMillis = 120
-    )
+    ),
+    duties
 )
 
 private fun route(
