--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -72,5 +72,9 @@
     ENDPOINT_LEAVING(515, "endpoint said that it is leaving"),
     ENDPOINT_BACKOFF(516, "endpoint asked for no requests for a time"),
     CALLER_TIMED_OUT(517, "connection of a caller closed by a time-out"),
-    CALLER_FAILED(518, "connection of a caller closed by an internal error")
+    CALLER_FAILED(518, "connection of a caller closed by an internal error"),
+    DUTY_LEASE_ACQUIRED(600, "lease for duties acquired"),
+    DUTY_LEASE_LOST(601, "lease for duties lost"),
+    DUTY_LEASE_UNREADABLE(602, "lease for duties cannot be parsed"),
+    DUTY_CALL_FAILED(603, "call to the operations API failed")
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -19,8 +19,9 @@
 import org.toucanspur.core.gateway.GracePeriod
 import org.toucanspur.core.gateway.StoreOutage
 import org.toucanspur.core.gateway.WatchProgress
-import org.toucanspur.core.platform.ObjectFeed
 import org.toucanspur.core.platform.ObjectKind
+import org.toucanspur.daemon.duties.EntryDuties
+import org.toucanspur.daemon.duties.hasDuties
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
@@ -46,7 +47,13 @@
     private val codec = platformRequestCodec()
     private val gatewayMetrics = GatewayMetrics(registry)
     private val dispatcher = CallDispatcher(loop, state, codec, log, gatewayMetrics)
-    private val store: ObjectFeed = PlatformStore(NettyHttpClient(loop), settings.store.address)
+    private val http = NettyHttpClient(loop)
+    private val store = PlatformStore(http, settings.store.address)
+    private val duties = if (settings.hasDuties) {
+        EntryDuties(settings, loop, http, store, systemClocks, log, registry)
+    } else {
+        null
+    }
     private val server = GatewayServer(
         loop,
         state,
@@ -109,6 +116,7 @@
             it.requestedBackoffMillis(monotonicMillis()) > 0
         }
         loop.scheduleRepeating("freshness", FRESHNESS_CHECK_MILLIS, ::checkFreshness)
+        duties?.start()
     }
 
     private fun registerEndpointGauge(name: String, counts: (FleetEndpoint) -> Boolean) =
@@ -187,6 +195,7 @@
         val start = monotonicMillis()
         val graceMillis = settings.bounds.graceSeconds * MILLIS_PER_SECOND
         isStopping = true
+        duties?.beginStopping()
         dispatcher.beginStopping(GracePeriod(start, graceMillis))
         server.beginClosing()
         // New connections stop only after the probe has failed twice, a second apart.
