Exchange notices between entries and do the duties of the holder

Cause: usage reports and the number of endpoints need the counts and the demand of all entries, and one entry at a time to send them. Change: each entry counts requests when they begin to run and sends an EntryNotice once a second through two agents, which relay it. The holder of the lease stores final windows and orders in the record before it sends them. The era in the record is dropped: the lease empties a restored record itself.

--- a/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
@@ -59,8 +59,6 @@
     val windows: List<RecordedWindow> = emptyList(),
     /** Last window that is final; an earlier one that [windows] lacks is not reported. */
     val finalUntil: Long = 0,
-    /** Era of the store in which the record was written; null while none is known. */
-    val era: Long? = null,
     /** Numbers of endpoints ordered last. */
     val orders: List<EndpointOrder> = emptyList()
 )
--- a/core/src/main/kotlin/org/toucanspur/core/duties/EndpointScaling.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/EndpointScaling.kt
@@ -17,7 +17,7 @@
 class EndpointScaling {
     private val history = DemandHistory()
     private val zones = HashMap<ZoneId, ZoneState>()
-    private var isFirstOrder = false
+    private var isFirstOrder: Boolean? = null
     private var changedMillis = Long.MIN_VALUE
 
     /**
@@ -30,7 +30,6 @@
         orders: Map<ZoneId, Int>,
         nowMillis: Long
     ) {
-        if (history.startMillis == null) isFirstOrder = orders.isEmpty()
         if (endpoints != null) history.add(endpoints, nowMillis)
         val listed = current.associateBy { it.zone }
         (listed.keys + orders.keys).forEach { zones.getOrPut(it) { ZoneState() } }
@@ -48,6 +47,7 @@
         orders: Map<ZoneId, Int>,
         nowMillis: Long
     ): Map<ZoneId, Int> {
+        val isFirst = isFirstOrder ?: orders.isEmpty().also { isFirstOrder = it }
         val bounds = scaling.minimum..scaling.maximum
         val targets = zones.mapValuesTo(HashMap()) { (zone, state) ->
             (orders[zone] ?: state.baseline).coerceIn(bounds)
@@ -57,7 +57,11 @@
         val missing = open.mapValues { (zone, state) ->
             state.undelivered(targets.getValue(zone), scaling.bootMillis, nowMillis)
         }
-        val wanted = wantedTotal(total - missing.values.sum(), scaling.bootMillis, nowMillis)
+        val wanted = wantedTotal(
+            total - missing.values.sum(),
+            risingLevel(scaling.bootMillis, isFirst, nowMillis),
+            nowMillis
+        )
         val change = wanted + missing.values.sum() - total
         if (change > 0) add(targets, open.keys.filter { missing[it] == 0 }, change, bounds)
         if (change < 0) remove(targets, open.keys, -change, bounds)
@@ -69,16 +73,20 @@
     }
 
     /** Zones whose order in [orders] has not been carried out and is repeated now. */
-    fun takeRepeats(orders: Map<ZoneId, Int>, nowMillis: Long): Map<ZoneId, Int> =
-        orders.filter { (zone, count) -> zones[zone]?.takeRepeat(count, nowMillis) == true }
-
-    /** Records that an order for [zone] is being sent. */
-    fun onOrdered(zone: ZoneId, nowMillis: Long) {
-        zones.getOrPut(zone) { ZoneState() }.orderedMillis = nowMillis
+    fun repeats(orders: Map<ZoneId, Int>, nowMillis: Long): Map<ZoneId, Int> =
+        orders.filter { (zone, count) -> zones[zone]?.isRepeatDue(count, nowMillis) == true }
+
+    /** Records the [reply] to an order for [zone]. */
+    fun onOrdered(zone: ZoneId, reply: DutyReply, nowMillis: Long) {
+        val repeatMillis = when (reply) {
+            DutyReply.ACCEPTED, DutyReply.UNKNOWN -> REPEAT_MILLIS
+            DutyReply.RATE_LIMITED -> RATE_LIMITED_MILLIS
+            DutyReply.REJECTED -> REJECTED_MILLIS
+        }
+        zones.getOrPut(zone) { ZoneState() }.repeatMillis = nowMillis + repeatMillis
     }
 
-    private fun wantedTotal(total: Int, bootMillis: Long, nowMillis: Long): Int {
-        val rising = risingLevel(bootMillis, nowMillis)
+    private fun wantedTotal(total: Int, rising: Double?, nowMillis: Long): Int {
         val upper = if (rising == null) total else ceil(rising / USE_MAX).toInt()
         if (upper > total) return upper
         val peak = history.level(nowMillis, PEAK_MILLIS, PEAK_QUANTILE) ?: return total
@@ -90,7 +98,7 @@
     }
 
     // The first rise of a deployment is no burst: its endpoints start with fewer than they need.
-    private fun risingLevel(bootMillis: Long, nowMillis: Long): Double? {
+    private fun risingLevel(bootMillis: Long, isFirstOrder: Boolean, nowMillis: Long): Double? {
         val start = history.startMillis ?: return null
         val isFirst = isFirstOrder && nowMillis - start < FIRST_MILLIS
         val length = if (isFirst) FIRST_SUSTAINED_MILLIS else SUSTAINED_MILLIS
@@ -128,7 +136,7 @@
     }
 
     private class ZoneState {
-        var orderedMillis = Long.MIN_VALUE
+        var repeatMillis = Long.MIN_VALUE
         var isEvacuated = false
             private set
         private var live = 0
@@ -157,11 +165,8 @@
             return maxOf(0, order - live)
         }
 
-        fun takeRepeat(order: Int, nowMillis: Long): Boolean {
-            val isDue = orderedMillis == Long.MIN_VALUE ||
-                nowMillis - orderedMillis >= REPEAT_MILLIS
-            return live != order && isDue
-        }
+        fun isRepeatDue(order: Int, nowMillis: Long): Boolean =
+            live != order && nowMillis >= repeatMillis
     }
 
     private companion object {
@@ -186,6 +191,8 @@
         const val REMOVAL_SHARE = 0.1
         const val BASELINE_MILLIS = 20_000L
         const val REPEAT_MILLIS = 3000L
+        const val RATE_LIMITED_MILLIS = 1000L
+        const val REJECTED_MILLIS = 10_000L
 
         // The record of a new endpoint appears some seconds after its boot time.
         const val DELIVERY_MILLIS = 6000L
--- a/core/src/main/kotlin/org/toucanspur/core/duties/UsagePlan.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/UsagePlan.kt
@@ -44,14 +44,16 @@
     private var pausedUntilMillis = Long.MIN_VALUE
 
     /**
-     * The record to store before anything else is sent, or null if [record] stays as it is. The
-     * store is in [era]. In another era than that of the record, or without a record, windows may
-     * have been reported that the record does not show, so none is reported that has ended.
+     * The record to store before anything else is sent, or null if [record] stays as it is. A new
+     * record, and one that has a gap until [gapUntilMillis], may lack windows that were reported,
+     * so windows that had ended by then are not made final.
      */
-    fun nextRecord(record: DutyRecord, era: Long?, trueMillis: Long): DutyRecord? {
-        val current = Math.floorDiv(trueMillis, timing.windowMillis)
-        if (record.era != era || record.finalUntil == 0L) {
-            return record.copy(windows = emptyList(), finalUntil = current - 1, era = era)
+    fun nextRecord(record: DutyRecord, gapUntilMillis: Long, trueMillis: Long): DutyRecord? {
+        if (record.finalUntil == 0L) {
+            val knownFromMillis = maxOf(trueMillis, gapUntilMillis)
+            return record.copy(
+                finalUntil = Math.floorDiv(knownFromMillis, timing.windowMillis) - 1
+            )
         }
         var next = record
         while (true) {
@@ -93,13 +95,12 @@
     /** Window of the stored [record] whose report is sent now with [fencing], or null. */
     fun nextReport(
         record: DutyRecord,
-        era: Long?,
         fencing: FencingNumber,
         trueMillis: Long,
         nowMillis: Long
     ): RecordedWindow? {
         sendings.keys.retainAll(record.windows.map { it.window }.toSet())
-        if (record.era != era || nowMillis < pausedUntilMillis) return null
+        if (nowMillis < pausedUntilMillis) return null
         return record.windows.firstOrNull { window ->
             val sending = sendings[window.window]
             val isOpen = !isAccepted(window) &&
--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -76,5 +76,9 @@
     DUTY_LEASE_ACQUIRED(600, "lease for duties acquired"),
     DUTY_LEASE_LOST(601, "lease for duties lost"),
     DUTY_LEASE_UNREADABLE(602, "lease for duties cannot be parsed"),
-    DUTY_CALL_FAILED(603, "call to the operations API failed")
+    DUTY_CALL_FAILED(603, "call to the operations API failed"),
+    USAGE_FINAL(610, "counts of a usage window stored as final"),
+    USAGE_REPORTED(611, "report of a usage window accepted"),
+    USAGE_MISSED(612, "usage window not reported in time"),
+    ENDPOINTS_ORDERED(613, "number of endpoints changed by an order")
 }
--- a/core/src/test/kotlin/org/toucanspur/core/duties/EndpointScalingTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/duties/EndpointScalingTest.kt
@@ -53,9 +53,9 @@
         )
         val changed = if (measured == null) emptyMap() else plan.decide(scaling, orders, nowMillis)
         orders += changed
-        (changed + plan.takeRepeats(orders, nowMillis)).forEach { (zone, count) ->
+        (changed + plan.repeats(orders, nowMillis)).forEach { (zone, count) ->
             callCount++
-            plan.onOrdered(zone, nowMillis)
+            plan.onOrdered(zone, DutyReply.ACCEPTED, nowMillis)
             if (zone != deadZone) carryOut(zone, count)
         }
         totals += zones.sumOf { orders[it] ?: live.getValue(it) }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/duties/EntryDuties.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/duties/EntryDuties.kt
@@ -68,9 +68,12 @@
         }
     }
 
-    /** Becomes a candidate for the lease. */
-    fun start() {
+    /** Becomes a candidate for the lease, and does the duties of [work] while it holds the lease. */
+    fun start(work: DutyWork) {
+        lease.timeOfDayMillis = work::timeOfDayMillis
         loop.supervise("duty lease") { lease.run() }
+        work.reporter?.let { loop.supervise("usage reports") { it.run() } }
+        work.orders?.let { loop.supervise("endpoint orders") { it.run() } }
     }
 
     /** The process is about to end; another entry takes over once the lease has expired. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -49,6 +49,7 @@
 import org.toucanspur.platform.TargetVersion
 import org.toucanspur.platform.decodeEndpoint
 import org.toucanspur.schema.CrashEvidence
+import org.toucanspur.schema.EntryNotice
 import org.toucanspur.schema.Frame
 import org.toucanspur.schema.LimitNotice
 import org.toucanspur.schema.LoadQuery
@@ -423,7 +424,7 @@
     private fun onFrame(frame: Frame, sender: InetSocketAddress) {
         when (frame) {
             is LoadQuery -> loadReporter.onQuery(sender)
-            is CrashEvidence, is LimitNotice -> loadReporter.relay(frame, sender)
+            is CrashEvidence, is LimitNotice, is EntryNotice -> loadReporter.relay(frame, sender)
             is PieceStatus -> onStatus(frame, sender)
             else -> Unit
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -45,6 +45,9 @@
     /** Called when the response of an [endpoint] that ran the request begins. */
     fun onResponseBegun(call: Call, endpoint: FleetEndpoint)
 
+    /** Called once, when an endpoint has begun to run [call] for the first time. */
+    fun onBegun(call: Call)
+
     /** Called when the response of the endpoint is complete. */
     fun onResponseComplete(call: Call, status: Int)
 
@@ -155,6 +158,7 @@
     private var eventSplitter: EventStreamSplitter? = null
     private var bufferedBody = ByteArrayOutputStream(0)
     private var isSealed = false
+    private var isBegun = false
     private var committedMediaType = ""
     private var silentAttempt: SilentAttempt? = null
 
@@ -391,11 +395,19 @@
         }
         responseHead = response
         isSealed = delegate.codec.isSealed { response.headers().get(it) }
+        // A stream has begun to run with its first event.
+        if (isSealed && route.kind != CallKind.STREAM) markBegun()
         val type = response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
         val isStream = route.kind == CallKind.STREAM && status in SUCCESS
         if (isStream || type.startsWith(EVENT_STREAM)) eventSplitter = EventStreamSplitter()
     }
 
+    private fun markBegun() {
+        if (isBegun) return
+        isBegun = true
+        delegate.onBegun(this)
+    }
+
     private fun onNotExecuted(status: Int) {
         val observation = when {
             status != MISDIRECTED -> EndpointSignal.OVERLOADED
@@ -452,6 +464,7 @@
             return
         }
         if (batch == null) return
+        markBegun()
         commit()
         attemptEvents++
         if (attemptEvents == PROGRESS_EVENTS) delegate.crashes.onProgress(this)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -116,6 +116,7 @@
         )
         activeCalls += call
         call.isOnTime = isOnTime(call)
+        state.exchange.onRequest(call)
         state.retryAllowance(call.service.id).onRequest(monotonicMillis())
         grace?.let { call.limitDeadline(it.endMillis) }
         scheduleDeadline(call)
@@ -242,6 +243,7 @@
     private fun end(call: Call, refusal: Refusal) {
         if (call.isFinished) return
         callLog.onRefused(call, refusal, queue.size)
+        if (refusal.status == UNAVAILABLE) state.exchange.onRefused(call)
         metrics.onRefused(refusal.status)
         call.refuse(refusal.status, refusal.headers(codec, call.id), refusal.body())
         activeCalls -= call
@@ -302,8 +304,11 @@
     override fun onResponseBegun(call: Call, endpoint: FleetEndpoint) =
         versions.onResponseBegun(call, endpoint)
 
+    override fun onBegun(call: Call) = state.exchange.onBegun(call)
+
     override fun onResponseComplete(call: Call, status: Int) {
         activeCalls -= call
+        state.exchange.onComplete(call)
         val total = monotonicMillis() - call.request.receivedMillis
         val firstByte = call.firstByteMillis - call.request.receivedMillis
         metrics.onResponseComplete(firstByte, total, call.predictedMillis)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -20,6 +20,7 @@
 import org.toucanspur.core.gateway.StoreOutage
 import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.ObjectKind
+import org.toucanspur.daemon.duties.DutyWork
 import org.toucanspur.daemon.duties.EntryDuties
 import org.toucanspur.daemon.duties.hasDuties
 import org.toucanspur.daemon.log.DecisionLog
@@ -110,13 +111,27 @@
         registry.gauge("toucanspur.endpoints.unreadable", state) {
             it.unreadableRecords.size.toDouble()
         }
+        registerExchangeGauges()
         registerEndpointGauge("toucanspur.endpoints.limited") { it.limitPerSecond != null }
         registerEndpointGauge("toucanspur.endpoints.leaving") { it.isLeaving }
         registerEndpointGauge("toucanspur.endpoints.backing.off") {
             it.requestedBackoffMillis(monotonicMillis()) > 0
         }
         loop.scheduleRepeating("freshness", FRESHNESS_CHECK_MILLIS, ::checkFreshness)
-        duties?.start()
+        duties?.let { it.start(DutyWork(state, it.lease, it.api, log, registry)) }
+    }
+
+    private fun registerExchangeGauges() {
+        registry.gauge("toucanspur.entries.heard", state) { it.exchange.heardCount.toDouble() }
+        registry.gauge("toucanspur.clock.offset.millis", state) {
+            (it.exchange.trueMillis() - systemClocks.now().wallMillis).toDouble()
+        }
+        registry.gauge("toucanspur.demand.cost.millis", state) {
+            val now = monotonicMillis()
+            it.configuration?.services?.keys.orEmpty().sumOf { service ->
+                it.exchange.demand.total(service, now).sumOf { kind -> kind.costMillisPerSecond }
+            }.toDouble()
+        }
     }
 
     private fun registerEndpointGauge(name: String, counts: (FleetEndpoint) -> Boolean) =
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -23,6 +23,8 @@
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.VersionGate
 import org.toucanspur.core.platform.ObjectKind
+import org.toucanspur.daemon.duties.hasDuties
+import org.toucanspur.daemon.duties.usageWindowMillis
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.node.zoneRegions
 import org.toucanspur.daemon.wallMillis
@@ -156,6 +158,14 @@
     /** Region of each availability zone. */
     val regions: Map<ZoneId, RegionId> = zoneRegions(settings)
 
+    /** What the entries tell each other: clocks, usage counts and demand. */
+    val exchange = EntryExchange(
+        settings.node.vm,
+        systemClocks,
+        if (settings.hasDuties) settings.duties.usageWindowMillis else null,
+        ::entryCount
+    )
+
     private val retryAllowances = HashMap<ServiceId, RetryBudgetShare>()
     private var reportedEntryCount = 0
     private var reportedAtMillis = 0L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/LoadSubscriber.kt
@@ -1,8 +1,8 @@
 /*
  * Subscribes to load reports from the agents of endpoints. A query subscribes for a few seconds, so
  * that agents need no list of entries and the subscription of a stopped entry expires. The agents
- * also relay between the entries: evidence about requests that crash endpoints, and the limits that
- * endpoints name.
+ * also relay between the entries: evidence about requests that crash endpoints, the limits that
+ * endpoints name, and the notices with clocks, usage counts and demand.
  */
 package org.toucanspur.daemon.gateway
 
@@ -12,6 +12,7 @@
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.daemon.transport.encodeFrame
 import org.toucanspur.schema.CrashEvidence
+import org.toucanspur.schema.EntryNotice
 import org.toucanspur.schema.Frame
 import org.toucanspur.schema.LimitNotice
 import org.toucanspur.schema.LoadQuery
@@ -39,6 +40,9 @@
             sendEvidence(REPEAT_AGENTS)
             sendLimits(isRepeat = true)
         }
+        loop.scheduleRepeating("entry notices", NOTICE_CHECK_MILLIS) {
+            sendToAgents(state.exchange.dueNotices().map(::encodeFrame), REPEAT_AGENTS)
+        }
         loop.scheduleRepeating("news", NEWS_MILLIS) {
             if (state.crashSuspects.revision != sentRevision) sendEvidence(NEWS_AGENTS)
             sendLimits(isRepeat = false)
@@ -81,16 +85,19 @@
         sendToAgents(encoded, if (isNews) NEWS_AGENTS else REPEAT_AGENTS)
     }
 
-    private fun sendToAgents(encoded: List<ByteArray>, agents: Int) =
+    private fun sendToAgents(encoded: List<ByteArray>, agents: Int) {
+        if (encoded.isEmpty()) return
         agentHosts().shuffled(state.random).take(agents).forEach { host ->
             encoded.forEach { datagrams.sendEncoded(it, InetSocketAddress(host, peerPort)) }
         }
+    }
 
     private fun onFrame(frame: Frame, sender: InetSocketAddress) {
         when (frame) {
             is LoadReport -> onReport(frame, sender)
             is CrashEvidence -> onEvidence(frame)
             is LimitNotice -> state.limits.merge(frame.limits, monotonicMillis())
+            is EntryNotice -> state.exchange.onNotice(frame)
             else -> Unit
         }
     }
@@ -122,6 +129,7 @@
     private companion object {
         const val QUERY_MILLIS = 1000L
         const val NEWS_MILLIS = 200L
+        const val NOTICE_CHECK_MILLIS = 100L
         const val NEWS_AGENTS = 3
         const val REPEAT_AGENTS = 2
 
