--- a/core/src/main/kotlin/org/toucanspur/core/gateway/EntryNotices.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/EntryNotices.kt
@@ -44,7 +44,7 @@
         reserve(WINDOW_BYTES)
         var part = window.copy(organisations = emptyList(), counts = emptyList())
         window.organisations.zip(window.counts).forEach { (id, count) ->
-            val size = COUNT_BYTES + id.value.encodeToByteArray().size
+            val size = NAME_BYTES + id.value.encodeToByteArray().size + countBytes(count)
             if (bytes + size > DATAGRAM_MAX_BYTES) {
                 current = current.copy(windows = current.windows + part)
                 part = window.copy(organisations = emptyList(), counts = emptyList())
@@ -72,4 +72,10 @@
 private const val HEADER_BYTES = 220
 private const val DEMAND_BYTES = 125
 private const val WINDOW_BYTES = 70
-private const val COUNT_BYTES = 11
+private const val NAME_BYTES = 2
+private const val SHORT_COUNT_MAX = 65_535L
+private const val SHORT_COUNT_BYTES = 3
+private const val LONG_COUNT_BYTES = 9
+
+private fun countBytes(count: Long): Int =
+    if (count in 0..SHORT_COUNT_MAX) SHORT_COUNT_BYTES else LONG_COUNT_BYTES
--- a/core/src/test/kotlin/org/toucanspur/core/duties/UsageExchangeTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/duties/UsageExchangeTest.kt
@@ -117,7 +117,10 @@
             it("is not complete, whatever was received") {
                 val network = SimulatedNetwork(fiveEntries(), lossShare = 0.0, seed = 4)
                 network.runUntil(START_MILLIS + 4000)
-                network.entries.first().isComplete(START_MILLIS / WINDOW_MILLIS, network.millis) shouldBe
+                network.entries.first().isComplete(
+                    START_MILLIS / WINDOW_MILLIS,
+                    network.millis
+                ) shouldBe
                     false
             }
         }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/LoadSubscriberTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/LoadSubscriberTest.kt
@@ -22,11 +22,13 @@
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.Frame
 import org.toucanspur.schema.LoadQuery
+import org.toucanspur.schema.OrganisationId
 import org.toucanspur.schema.ServiceId
 import org.toucanspur.schema.VmId
 
 private const val AGENT_HOST = "127.0.0.3"
 private val service = ServiceId("engine")
+private val usageDuties = noDuties.copy(address = "127.0.0.1:1", duties = "usage_report")
 private val endpointId = EndpointId("e")
 private val patience = 20.seconds
 
@@ -46,7 +48,7 @@
 /** State and subscriber of an entry on [host]. */
 private class SubscribedEntry(host: String, port: Int) {
     private val loop = NettyEventLoop()
-    private val state = GatewayState(entrySettings(host, port), Random(1))
+    private val state = GatewayState(entrySettings(host, port, usageDuties), Random(1))
 
     init {
         onLoop {
@@ -99,6 +101,25 @@
                 second.name(NamedLimit.None)
                 eventually(patience) { first.limitPerSecond() shouldBe null }
             }
+            it("learn each other's usage counts from notices that the agent relays") {
+                val organisation = OrganisationId("o")
+                val window = first.onLoop {
+                    exchange.onBegun(organisation)
+                    exchange.trueMillis() / 5000
+                }
+                second.onLoop { exchange.onBegun(organisation) }
+                listOf(first, second).forEach { entry ->
+                    eventually(patience) {
+                        entry.onLoop {
+                            listOf(window, window + 1).sumOf {
+                                exchange.totals(it)[organisation]
+                                    ?: 0
+                            }
+                        } shouldBe 2
+                    }
+                    entry.onLoop { exchange.heardCount } shouldBe 1
+                }
+            }
             it("count the responses that each of them has seen after crashes") {
                 val part = listOf(partFingerprint(service, "deadly"))
                 first.onLoop {
