--- a/core/src/main/kotlin/org/toucanspur/core/duties/LeaseStateMachine.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/LeaseStateMachine.kt
@@ -65,11 +65,7 @@
     )
 
     // Monotonic time because the wait must not become shorter by a clock step.
-    private class Observation(
-        val found: LeaseObject,
-        val sinceMillis: Long,
-        val jitterMillis: Long
-    )
+    private class Observation(val found: LeaseObject, val sinceMillis: Long, val jitterMillis: Long)
 
     private var era = UNKNOWN_ERA
     private var held: Held? = null
@@ -111,11 +107,7 @@
      * Returns what to do at [now]; [timeOfDayMillis] is the best known time of day. A [newRecord]
      * is written at once if this VM holds the lease.
      */
-    fun next(
-        now: ClockReading,
-        timeOfDayMillis: Long,
-        newRecord: DutyRecord? = null
-    ): LeaseAction {
+    fun next(now: ClockReading, timeOfDayMillis: Long, newRecord: DutyRecord? = null): LeaseAction {
         if (isStopping) return LeaseAction.Wait(terms.leaseMillis)
         expire(now)
         val lease = held ?: return nextAsCandidate(now, timeOfDayMillis)
@@ -154,7 +146,8 @@
         failures++
         val shift = minOf(failures - 1, BACKOFF_SHIFT_MAX)
         val backoffMillis = minOf(BACKOFF_MIN_MILLIS shl shift, terms.readMillis)
-        nextAttemptMillis = now.monotonicMillis + backoffMillis + random.nextLong(BACKOFF_MIN_MILLIS)
+        nextAttemptMillis =
+            now.monotonicMillis + backoffMillis + random.nextLong(BACKOFF_MIN_MILLIS)
     }
 
     /**
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -21,8 +21,8 @@
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.schema.AddressesSection
 import org.toucanspur.schema.BoundsSection
-import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.DutiesSection
+import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.EngineSection
 import org.toucanspur.schema.LimitsSection
 import org.toucanspur.schema.LoadReport
@@ -57,32 +57,29 @@
 val testEngine = EngineTiming(8, 1.0, 0.1, 0.0, 30_000.0, 6, 100, 50, 100_000)
 
 /** Settings of an entry on [host] that exchanges datagrams on [peerPort]. */
-fun entrySettings(
-    host: String = "127.0.0.1",
-    peerPort: Int = 1,
-    duties: DutiesSection = noDuties
-) = NodeConfiguration(
-    NodeSection(NodeRole.ENTRY, VmId("vm-$host"), host, ZoneId("z"), RegionId("r"), "z:r"),
-    AddressesSection("$host:0", "$host:0", peerPort),
-    StoreSection("127.0.0.1:1", 1200),
-    EngineSection("none", ServiceId("none")),
-    LimitsSection(430, 4200, 1000.0),
-    BoundsSection(
-        drainMillis = 2000,
-        graceSeconds = 8,
-        revocationMillis = 60_000,
-        evacuationMillis = 5000,
-        configurationMillis = CONFIGURATION_BOUND_MILLIS,
-        stabilityMillis = 3000,
-        versionMillis = VERSION_BOUND_MILLIS,
-        retryBudgetRatio = 0.2,
-        retryBudgetWindowSeconds = 10,
-        retryBudgetAllowance = 100,
-        coldAllowance = 5,
-        eventRelayMillis = 120
-    ),
-    duties
-)
+fun entrySettings(host: String = "127.0.0.1", peerPort: Int = 1, duties: DutiesSection = noDuties) =
+    NodeConfiguration(
+        NodeSection(NodeRole.ENTRY, VmId("vm-$host"), host, ZoneId("z"), RegionId("r"), "z:r"),
+        AddressesSection("$host:0", "$host:0", peerPort),
+        StoreSection("127.0.0.1:1", 1200),
+        EngineSection("none", ServiceId("none")),
+        LimitsSection(430, 4200, 1000.0),
+        BoundsSection(
+            drainMillis = 2000,
+            graceSeconds = 8,
+            revocationMillis = 60_000,
+            evacuationMillis = 5000,
+            configurationMillis = CONFIGURATION_BOUND_MILLIS,
+            stabilityMillis = 3000,
+            versionMillis = VERSION_BOUND_MILLIS,
+            retryBudgetRatio = 0.2,
+            retryBudgetWindowSeconds = 10,
+            retryBudgetAllowance = 100,
+            coldAllowance = 5,
+            eventRelayMillis = 120
+        ),
+        duties
+    )
 
 private fun route(
     path: String,
--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/ObjectStoreService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/ObjectStoreService.kt
@@ -56,7 +56,8 @@
     }
 
     /** Content of an object as JSON; null if there is none. */
-    fun content(kind: String, name: String): String? = lock.withLock { objects[kind]?.get(name)?.text }
+    fun content(kind: String, name: String): String? =
+        lock.withLock { objects[kind]?.get(name)?.text }
 
     /** Keeps a copy of all objects for [restore]. */
     fun takeCopy() = lock.withLock {
@@ -179,13 +180,12 @@
             """"specification":${content?.text},"status":null}"""
     }
 
-    private fun respond(exchange: HttpExchange, status: Int, body: String) =
-        exchange.respond(
-            status,
-            body.encodeToByteArray(),
-            "Content-Type" to "application/json",
-            "Store-Era" to era.toString()
-        )
+    private fun respond(exchange: HttpExchange, status: Int, body: String) = exchange.respond(
+        status,
+        body.encodeToByteArray(),
+        "Content-Type" to "application/json",
+        "Store-Era" to era.toString()
+    )
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
