Test which requests count as usage, and keep endpoints before the first demand

Cause: a resumed stream must count once, a refused request not at all. A service whose callers had not begun would have lost endpoints after 40 s.

--- a/core/src/main/kotlin/org/toucanspur/core/duties/DemandHistory.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/DemandHistory.kt
@@ -20,7 +20,7 @@
     }
 
     /**
-     * Demand that is exceeded for a share of 1 - [quantile] of the [lengthMillis] up to [endMillis];
+     * Demand that is exceeded for a share of 1 - [quantile] of [lengthMillis] up to [endMillis];
      * null unless there are samples for most of that time.
      */
     fun level(endMillis: Long, lengthMillis: Long, quantile: Double): Double? {
--- a/core/src/main/kotlin/org/toucanspur/core/duties/EndpointScaling.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/EndpointScaling.kt
@@ -89,6 +89,9 @@
     private fun wantedTotal(total: Int, rising: Double?, nowMillis: Long): Int {
         val upper = if (rising == null) total else ceil(rising / USE_MAX).toInt()
         if (upper > total) return upper
+        // Before the callers of a deployment begin, it needs no endpoints, but it will.
+        val hasBegun = history.startMillis?.let { nowMillis - it >= PEAK_MILLIS } ?: false
+        if (!hasBegun) return total
         val peak = history.level(nowMillis, PEAK_MILLIS, PEAK_QUANTILE) ?: return total
         val lower = maxOf(upper, ceil(peak / USE_MIN).toInt())
         val isSettled = changedMillis == Long.MIN_VALUE ||
--- a/core/src/test/kotlin/org/toucanspur/core/duties/EndpointScalingTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/duties/EndpointScalingTest.kt
@@ -119,6 +119,13 @@
                 service.changes shouldBe 0
             }
         }
+        describe("a service whose callers have not begun") {
+            it("keeps its endpoints") {
+                val service = ScaledService(first = 36)
+                service.run(120) { 0.0 }
+                service.changes shouldBe 0
+            }
+        }
         describe("a demand that falls to half") {
             val service = ScaledService(first = 36)
             service.run(30) { 30.0 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/duties/EntryDuties.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/duties/EntryDuties.kt
@@ -68,7 +68,7 @@
         }
     }
 
-    /** Becomes a candidate for the lease, and does the duties of [work] while it holds the lease. */
+    /** Becomes a candidate for the lease; as its holder, this entry does the duties of [work]. */
     fun start(work: DutyWork) {
         lease.timeOfDayMillis = work::timeOfDayMillis
         loop.supervise("duty lease") { lease.run() }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EntryExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EntryExchange.kt
@@ -50,7 +50,7 @@
     /** Time of day in milliseconds, as most entries have it. */
     fun trueMillis(): Long = peers.trueMillis(clocks.now())
 
-    /** Whether most entries are heard from, so that [trueMillis] and the counts can be relied on. */
+    /** Whether most entries are heard from, so that [trueMillis] and counts can be relied on. */
     fun isKnown(): Boolean = demand.isKnown(clocks.now().monotonicMillis)
 
     /** Records the arrival of [call]. */
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/LoadSubscriberTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/LoadSubscriberTest.kt
@@ -28,7 +28,6 @@
 
 private const val AGENT_HOST = "127.0.0.3"
 private val service = ServiceId("engine")
-private val usageDuties = noDuties.copy(address = "127.0.0.1:1", duties = "usage_report")
 private val endpointId = EndpointId("e")
 private val patience = 20.seconds
 
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -13,6 +13,7 @@
 import org.toucanspur.core.gateway.Organisation
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.RouteTarget
+import org.toucanspur.core.gateway.ServiceDemand
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
@@ -40,6 +41,9 @@
 /** Settings of a deployment without an operations API. */
 val noDuties = DutiesSection("none", "none", 10, 3000, 300, 5, 0.05, 10)
 
+/** Settings of a deployment that reports usage. */
+val usageDuties = noDuties.copy(address = "127.0.0.1:1", duties = "usage_report")
+
 /** Time limit of the calls of a [TestGateway]. */
 const val CALL_SECONDS = 20
 
@@ -161,7 +165,7 @@
 
     /** Events that the gateway logs. */
     val events = LogCapture()
-    private val state = GatewayState(entrySettings(), Random(1))
+    private val state = GatewayState(entrySettings(duties = usageDuties), Random(1))
     private var starts = 0L
     private val server: GatewayServer
     private var configuration = TestConfiguration(
@@ -303,6 +307,20 @@
     fun callEngine(path: String = "/engine/"): String =
         call(path, extraHeaders = "Model: ${model.value}\r\n")
 
+    /** Requests that were counted as usage of the organisation. */
+    val usageCount: Long
+        get() = loop.executor.submit<Long> {
+            val window = state.exchange.trueMillis() / (noDuties.usageWindowSeconds * 1000)
+            (window - 3..window).sumOf {
+                state.exchange.totals(it)[OrganisationId("acme")] ?: 0
+            }
+        }.get()
+
+    /** Demand on the service without an engine. */
+    fun demand(): ServiceDemand = loop.executor.submit<ServiceDemand> {
+        state.exchange.demand.total(service, monotonicMillis()).single()
+    }.get()
+
     /** Number of requests that have been queued. */
     val queuedCount: Long get() = registry.counter("toucanspur.requests.waited").count().toLong()
 
