--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakRun.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakRun.kt
@@ -16,6 +16,7 @@
 import org.toucanspur.standin.platform.ConnectionTimeoutsDocument
 import org.toucanspur.standin.platform.ENGINE_SERVICE
 import org.toucanspur.standin.platform.ObjectStoreService
+import org.toucanspur.standin.platform.OperationsService
 import org.toucanspur.standin.platform.OriginService
 import org.toucanspur.standin.platform.PLAIN_SERVICE
 import org.toucanspur.standin.platform.RouteDocument
@@ -54,6 +55,7 @@
     private val observations = SoakObservations(limits)
     private val store = ObjectStoreService()
     private val origin = OriginService(SOAK_MODEL)
+    private val operations = OperationsService(LEASE_MILLIS)
     private val endpoints = List(PLAIN_ENDPOINTS + ENGINES) {
         val isPlain = it < PLAIN_ENDPOINTS
         val host = if (isPlain) "$subnet.${PLAIN_HOST + it}" else agentHost(it - PLAIN_ENDPOINTS)
@@ -133,7 +135,9 @@
             "[bounds]\ndrain-millis = $DRAIN_MILLIS\ngrace-seconds = $GRACE_SECONDS\n" +
             "revocation-millis = $REVOCATION_MILLIS\nevacuation-millis = 5000\n" +
             "version-millis = $VERSION_MILLIS\nretry-budget-ratio = 0.2\n" +
-            "retry-budget-window-seconds = 10\nretry-budget-allowance = 40\n"
+            "retry-budget-window-seconds = 10\nretry-budget-allowance = 40\n" +
+            "[duties]\naddress = ${operations.address}\nduties = usage_report,scaling\n" +
+            "calls-per-second = 50\nlease-millis = $LEASE_MILLIS\n"
     }
 
     /** Starts the processes, injects the faults and returns the result. */
@@ -160,7 +164,7 @@
             isFinished = true
             killAll()
             Runtime.getRuntime().removeShutdownHook(cleanup)
-            (endpoints + otherEndpoint + storeLinks + listOf(store, origin)).forEach { it.close() }
+            (endpoints + otherEndpoint + storeLinks + listOf(store, origin, operations)).forEach { it.close() }
         }
     }
 
@@ -418,6 +422,7 @@
             )
             isBegun && isDeadlineReached || actual.excuses(incomplete)
         }
+        operations.violations.forEach { observations.onViolation("order of duties", it) }
         return SoakResult(
             seed,
             plan.size,
@@ -480,6 +485,7 @@
         const val DRAIN_MILLIS = 3000L
         const val VERSION_MILLIS = 8000L
         const val GRACE_SECONDS = 8L
+        const val LEASE_MILLIS = 3000L
         const val SETTLE_MILLIS = 4000L
         const val APPLY_MILLIS = 2000L
         const val RECOVERY_MILLIS = 15_000L
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/net/NettyHttpClientTest.kt
@@ -4,12 +4,16 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import com.sun.net.httpserver.HttpServer
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import java.net.InetAddress
 import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.SocketException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import kotlinx.coroutines.async
@@ -99,6 +103,13 @@
     }
 }
 
+private fun callOnLoop(call: HttpCall): Result<HttpReply, HttpFailure> {
+    val loop = NettyEventLoop()
+    return runBlocking {
+        withContext(loop.scope.coroutineContext) { NettyHttpClient(loop).call(call) }
+    }
+}
+
 class NettyHttpClientTest :
     DescribeSpec({
         // Guards against acting on an outdated check when the process stops while it connects.
@@ -127,6 +138,36 @@
                 }
             }
         }
+        // Guards against calls that arrive when another VM holds the lease.
+        describe("a call that must not arrive after its validity") {
+            it("is not sent unless it stays valid for its time-out") {
+                RecordingServer().use { server ->
+                    val call = HttpCall(server.address, "POST", "/", 600, validMillis = { 500 })
+                    val result = callOnLoop(call)
+                    result.getError() shouldBe HttpFailure.Outdated
+                    server.callerPorts.shouldBeEmpty()
+                }
+            }
+            it("resets its connection when the validity ends while it is pending") {
+                ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+                    val validity = ArrayDeque(listOf(600L, 500L, 0L))
+                    val address = "127.0.0.1:${server.localPort}"
+                    val call = HttpCall(
+                        address,
+                        "POST",
+                        "/",
+                        600,
+                        headers = mapOf("X-Number" to "7"),
+                        validMillis = { validity.removeFirstOrNull() ?: 0 }
+                    )
+                    val result = callOnLoop(call)
+                    result.getError() shouldBe HttpFailure.NoResponse("no longer valid")
+                    server.accept().use { connection ->
+                        shouldThrow<SocketException> { connection.getInputStream().readBytes() }
+                    }
+                }
+            }
+        }
         // Guards against keeping a response without end in memory.
         describe("a response that is larger than its call allows") {
             it("is a failure, on a new connection and on a reused one") {
