--- a/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
@@ -28,7 +28,7 @@
      */
     val recordGapUntilMillis: Long get() = 0
 
-    /** Stores [record] with a renewal; true once the write is confirmed and the lease still held. */
+    /** Stores [record] with a renewal; true once the write is confirmed and the lease is held. */
     suspend fun store(record: DutyRecord): Boolean
 }
 
