Send the orders of different zones at the same time

Cause: with an API that does not respond, each order waits 600 ms for its time-out, and the next sample of the demand would wait for all of them. Change: the orders of one step are sent concurrently.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/duties/EndpointOrders.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/duties/EndpointOrders.kt
@@ -4,7 +4,9 @@
 package org.toucanspur.daemon.duties
 
 import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.serialization.json.put
 import org.toucanspur.core.duties.DutyApi
 import org.toucanspur.core.duties.DutyLease
@@ -56,7 +58,8 @@
             val orders = if (isHeld) ordersOf(state.service) else emptyMap()
             planOf(state.service).observe(state.neededEndpoints, state.zones, orders, now)
         }
-        if (isHeld) current.forEach { order(it) }
+        // At once, so that an API that does not respond delays the next step by one time-out only.
+        if (isHeld) coroutineScope { current.forEach { launch { order(it) } } }
     }
 
     private suspend fun order(state: ScaledServiceState) {
@@ -68,8 +71,9 @@
         val now = clocks.now().monotonicMillis
         val orders = ordersOf(state.service)
         val changed = orders.filter { (zone, count) -> before[zone] != count }
-        (plan.repeats(orders, now) + changed).forEach { (zone, count) ->
-            send(state.service, zone, count)
+        val due = plan.repeats(orders, now) + changed
+        coroutineScope {
+            due.forEach { (zone, count) -> launch { send(state.service, zone, count) } }
         }
     }
 
