Bound the margin of the lease and give the duties only their own settings

Cause: a thaw slack near the lease duration left no time to act and renewals without a pause; fencing numbers of stores with large eras exceeded 2^53. Change: the margin is at most a third of the lease duration; the era offset is bounded; EntryDuties takes the VM and section [duties], which shortens its test.

--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakRun.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakRun.kt
@@ -164,7 +164,9 @@
             isFinished = true
             killAll()
             Runtime.getRuntime().removeShutdownHook(cleanup)
-            (endpoints + otherEndpoint + storeLinks + listOf(store, origin, operations)).forEach { it.close() }
+            (endpoints + otherEndpoint + storeLinks + listOf(store, origin, operations)).forEach {
+                it.close()
+            }
         }
     }
 
--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/DutyLeaseTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/DutyLeaseTest.kt
@@ -21,20 +21,9 @@
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.daemon.net.NettyHttpClient
 import org.toucanspur.platform.PlatformStore
-import org.toucanspur.schema.AddressesSection
-import org.toucanspur.schema.BoundsSection
 import org.toucanspur.schema.DutiesSection
-import org.toucanspur.schema.EngineSection
-import org.toucanspur.schema.LimitsSection
-import org.toucanspur.schema.NodeConfiguration
-import org.toucanspur.schema.NodeRole
-import org.toucanspur.schema.NodeSection
 import org.toucanspur.schema.OrganisationId
-import org.toucanspur.schema.RegionId
-import org.toucanspur.schema.ServiceId
-import org.toucanspur.schema.StoreSection
 import org.toucanspur.schema.VmId
-import org.toucanspur.schema.ZoneId
 import org.toucanspur.standin.platform.ObjectStoreService
 import org.toucanspur.standin.platform.OperationsService
 
@@ -49,15 +38,8 @@
     private val log = DecisionLog(VmId(name), PrintStream(output))
     private val http = NettyHttpClient(loop)
     private val duties = EntryDuties(
-        NodeConfiguration(
-            NodeSection(NodeRole.ENTRY, VmId(name), "127.0.0.1", ZoneId("z"), RegionId("r"), "z:r"),
-            AddressesSection("none", "none", 1),
-            StoreSection(store.address, 1200),
-            EngineSection("none", ServiceId("none")),
-            LimitsSection(430, 4200, 1000.0),
-            BoundsSection(2000, 8, 60_000, 5000, 2000, 3000, 8000, 0.2, 10, 100, 5, 120),
-            DutiesSection(api.address, "usage_report", 50, LEASE_MILLIS, 300, 5, 0.05, 10)
-        ),
+        VmId(name),
+        DutiesSection(api.address, "usage_report", 50, LEASE_MILLIS, 300, 5, 0.05, 10),
         loop,
         http,
         PlatformStore(http, store.address),
--- a/core/src/main/kotlin/org/toucanspur/core/duties/LeaseStateMachine.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/LeaseStateMachine.kt
@@ -368,8 +368,8 @@
         // the number of the last holder may have been lost with the restore.
         const val ERA_MILLIS = 60_000L
 
-        // Keeps the product within a Long beside the time of day.
-        const val ERA_MAX = 1_000_000_000_000L
+        // Keeps fencing numbers below 2^53, up to which a JSON number is exact.
+        const val ERA_MAX = 100_000_000_000L
 
         // The wall clock of a VM may be wrong by seconds.
         const val GAP_MARGIN_MILLIS = 5000L
--- a/core/src/main/kotlin/org/toucanspur/core/duties/LeaseTerms.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/LeaseTerms.kt
@@ -10,7 +10,8 @@
      * the time until a reset takes effect, packets that are on their way, and different clock
      * rates. Candidates and holder are twice this time apart.
      */
-    val marginMillis: Long = maxOf(thawSlackMillis, leaseMillis / MARGIN_DIVISOR)
+    val marginMillis: Long =
+        thawSlackMillis.coerceIn(leaseMillis / MARGIN_DIVISOR_MAX, leaseMillis / MARGIN_DIVISOR_MIN)
 
     /** Time from the start of a renewal for which the holder may act. */
     val validMillis: Long get() = leaseMillis - marginMillis
@@ -34,7 +35,10 @@
     val clockToleranceMillis: Long get() = marginMillis / 2
 
     private companion object {
-        const val MARGIN_DIVISOR = 10
+        const val MARGIN_DIVISOR_MAX = 10
+
+        // With a larger margin the holder could not make a call between two renewals.
+        const val MARGIN_DIVISOR_MIN = 3
         const val UNREADABLE_LEASES = 10
         const val RENEWAL_DIVISOR = 3
         const val JITTER_DIVISOR = 6
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/duties/EntryDuties.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/duties/EntryDuties.kt
@@ -21,18 +21,19 @@
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.platform.OperationsClient
-import org.toucanspur.schema.NodeConfiguration
+import org.toucanspur.schema.DutiesSection
 import org.toucanspur.schema.VmId
 
 // Value of a setting that is not set.
 private const val NONE = "none"
 
 /** Whether the deployment has an operations API. */
-val NodeConfiguration.hasDuties: Boolean get() = duties.address != NONE
+val DutiesSection.isEnabled: Boolean get() = address != NONE
 
-/** Duties with [settings]; for deployments that have an operations API. */
+/** Duties of [vm] with [settings]; for deployments that have an operations API. */
 class EntryDuties(
-    settings: NodeConfiguration,
+    vm: VmId,
+    settings: DutiesSection,
     private val loop: NettyEventLoop,
     http: HttpCaller,
     store: ConditionalStore,
@@ -48,21 +49,21 @@
 
     init {
         val terms = LeaseTerms(
-            settings.duties.leaseMillis.toLong(),
-            settings.duties.thawSlackMillis.toLong()
+            settings.leaseMillis.toLong(),
+            settings.thawSlackMillis.toLong()
         )
         // Differs between the processes of a VM, so that a write of an earlier one is recognised.
         val incarnation = Random.nextLong(Long.MAX_VALUE)
         val machine = LeaseStateMachine(
-            settings.node.vm,
+            vm,
             incarnation,
             terms,
             Random(incarnation),
             LeaseLog(log, registry)
         )
         lease = DutyLeaseHolder(store, clocks, machine)
-        val client = OperationsClient(http, settings.duties.address, lease::validMillis)
-        api = PacedDutyApi(client, DutyCallRate(settings.duties.callsPerSecond), log, registry)
+        val client = OperationsClient(http, settings.address, lease::validMillis)
+        api = PacedDutyApi(client, DutyCallRate(settings.callsPerSecond), log, registry)
         registry.gauge("toucanspur.duties.lease.held", lease) {
             if (it.permit(1) == null) 0.0 else 1.0
         }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -21,7 +21,7 @@
 import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.daemon.duties.EntryDuties
-import org.toucanspur.daemon.duties.hasDuties
+import org.toucanspur.daemon.duties.isEnabled
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
@@ -49,8 +49,9 @@
     private val dispatcher = CallDispatcher(loop, state, codec, log, gatewayMetrics)
     private val http = NettyHttpClient(loop)
     private val store = PlatformStore(http, settings.store.address)
-    private val duties = if (settings.hasDuties) {
-        EntryDuties(settings, loop, http, store, systemClocks, log, registry)
+    private val duties = if (settings.duties.isEnabled) {
+        val vm = settings.node.vm
+        EntryDuties(vm, settings.duties, loop, http, store, systemClocks, log, registry)
     } else {
         null
     }
