--- a/daemon/src/main/kotlin/org/toucanspur/daemon/duties/EntryDuties.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/duties/EntryDuties.kt
@@ -70,11 +70,11 @@
     }
 
     /** Becomes a candidate for the lease; as its holder, this entry does the duties of [work]. */
-    fun start(work: DutyWork) {
-        lease.timeOfDayMillis = work::timeOfDayMillis
+    fun start(work: DutyWork? = null) {
+        if (work != null) lease.timeOfDayMillis = work::timeOfDayMillis
         loop.supervise("duty lease") { lease.run() }
-        work.reporter?.let { loop.supervise("usage reports") { it.run() } }
-        work.orders?.let { loop.supervise("endpoint orders") { it.run() } }
+        work?.reporter?.let { loop.supervise("usage reports") { it.run() } }
+        work?.orders?.let { loop.supervise("endpoint orders") { it.run() } }
     }
 
     /** The process is about to end; another entry takes over once the lease has expired. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -23,7 +23,7 @@
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.VersionGate
 import org.toucanspur.core.platform.ObjectKind
-import org.toucanspur.daemon.duties.hasDuties
+import org.toucanspur.daemon.duties.isEnabled
 import org.toucanspur.daemon.duties.usageWindowMillis
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.node.zoneRegions
@@ -162,7 +162,7 @@
     val exchange = EntryExchange(
         settings.node.vm,
         systemClocks,
-        if (settings.hasDuties) settings.duties.usageWindowMillis else null,
+        if (settings.duties.isEnabled) settings.duties.usageWindowMillis else null,
         ::entryCount
     )
 
