--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -19,8 +19,10 @@
 import org.toucanspur.core.gateway.GracePeriod
 import org.toucanspur.core.gateway.StoreOutage
 import org.toucanspur.core.gateway.WatchProgress
-import org.toucanspur.core.platform.ObjectFeed
 import org.toucanspur.core.platform.ObjectKind
+import org.toucanspur.daemon.duties.DutyWork
+import org.toucanspur.daemon.duties.EntryDuties
+import org.toucanspur.daemon.duties.isEnabled
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
@@ -47,7 +49,14 @@
     private val codec = platformRequestCodec()
     private val gatewayMetrics = GatewayMetrics(registry)
     private val dispatcher = CallDispatcher(loop, state, codec, log, gatewayMetrics)
-    private val store: ObjectFeed = PlatformStore(NettyHttpClient(loop), settings.store.address)
+    private val http = NettyHttpClient(loop)
+    private val store = PlatformStore(http, settings.store.address)
+    private val duties = if (settings.duties.isEnabled) {
+        val vm = settings.node.vm
+        EntryDuties(vm, settings.duties, loop, http, store, systemClocks, log, registry)
+    } else {
+        null
+    }
     private val server = GatewayServer(
         loop,
         state,
@@ -106,12 +115,27 @@
         registry.gauge("toucanspur.endpoints.unreadable", state) {
             it.unreadableRecords.size.toDouble()
         }
+        registerExchangeGauges()
         registerEndpointGauge("toucanspur.endpoints.limited") { it.limitPerSecond != null }
         registerEndpointGauge("toucanspur.endpoints.leaving") { it.isLeaving }
         registerEndpointGauge("toucanspur.endpoints.backing.off") {
             it.requestedBackoffMillis(monotonicMillis()) > 0
         }
         loop.scheduleRepeating("freshness", FRESHNESS_CHECK_MILLIS, ::checkFreshness)
+        duties?.let { it.start(DutyWork(state, it.lease, it.api, log, registry)) }
+    }
+
+    private fun registerExchangeGauges() {
+        registry.gauge("toucanspur.entries.heard", state) { it.exchange.heardCount.toDouble() }
+        registry.gauge("toucanspur.clock.offset.millis", state) {
+            (it.exchange.trueMillis() - systemClocks.now().wallMillis).toDouble()
+        }
+        registry.gauge("toucanspur.demand.cost.millis", state) {
+            val now = monotonicMillis()
+            it.configuration?.services?.keys.orEmpty().sumOf { service ->
+                it.exchange.demand.total(service, now).sumOf { kind -> kind.costMillisPerSecond }
+            }.toDouble()
+        }
     }
 
     private fun registerEndpointGauge(name: String, counts: (FleetEndpoint) -> Boolean) =
@@ -190,6 +214,7 @@
         val start = monotonicMillis()
         val graceMillis = settings.bounds.graceSeconds * MILLIS_PER_SECOND
         isStopping = true
+        duties?.beginStopping()
         dispatcher.beginStopping(GracePeriod(start, graceMillis))
         server.beginClosing()
         // New connections stop only after the probe has failed twice, a second apart.
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -13,6 +13,7 @@
 import org.toucanspur.core.gateway.Organisation
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.RouteTarget
+import org.toucanspur.core.gateway.ServiceDemand
 import org.toucanspur.core.gateway.TrafficConfiguration
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
@@ -21,6 +22,7 @@
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.schema.AddressesSection
 import org.toucanspur.schema.BoundsSection
+import org.toucanspur.schema.DutiesSection
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.EngineSection
 import org.toucanspur.schema.LimitsSection
@@ -36,6 +38,12 @@
 import org.toucanspur.schema.VmId
 import org.toucanspur.schema.ZoneId
 
+/** Settings of a deployment without an operations API. */
+val noDuties = DutiesSection("none", "none", 10, 3000, 300, 5, 0.05, 10)
+
+/** Settings of a deployment that reports usage. */
+val usageDuties = noDuties.copy(address = "127.0.0.1:1", duties = "usage_report")
+
 /** Time limit of the calls of a [TestGateway]. */
 const val CALL_SECONDS = 20
 
@@ -54,27 +62,29 @@
 val testEngine = EngineTiming(8, 1.0, 0.1, 0.0, 30_000.0, 6, 100, 50, 100_000)
 
 /** Settings of an entry on [host] that exchanges datagrams on [peerPort]. */
-fun entrySettings(host: String = "127.0.0.1", peerPort: Int = 1) = NodeConfiguration(
-    NodeSection(NodeRole.ENTRY, VmId("vm-$host"), host, ZoneId("z"), RegionId("r"), "z:r"),
-    AddressesSection("$host:0", "$host:0", peerPort),
-    StoreSection("127.0.0.1:1", 1200),
-    EngineSection("none", ServiceId("none")),
-    LimitsSection(430, 4200, 1000.0, 0, 500, 30_000, 4096, 64, 256),
-    BoundsSection(
-        drainMillis = 2000,
-        graceSeconds = 8,
-        revocationMillis = 60_000,
-        evacuationMillis = 5000,
-        configurationMillis = CONFIGURATION_BOUND_MILLIS,
-        stabilityMillis = 3000,
-        versionMillis = VERSION_BOUND_MILLIS,
-        retryBudgetRatio = 0.2,
-        retryBudgetWindowSeconds = 10,
-        retryBudgetAllowance = 100,
-        coldAllowance = 5,
-        eventRelayMillis = 120
+fun entrySettings(host: String = "127.0.0.1", peerPort: Int = 1, duties: DutiesSection = noDuties) =
+    NodeConfiguration(
+        NodeSection(NodeRole.ENTRY, VmId("vm-$host"), host, ZoneId("z"), RegionId("r"), "z:r"),
+        AddressesSection("$host:0", "$host:0", peerPort),
+        StoreSection("127.0.0.1:1", 1200),
+        EngineSection("none", ServiceId("none")),
+        LimitsSection(430, 4200, 1000.0, 0, 500, 30_000, 4096, 64, 256),
+        BoundsSection(
+            drainMillis = 2000,
+            graceSeconds = 8,
+            revocationMillis = 60_000,
+            evacuationMillis = 5000,
+            configurationMillis = CONFIGURATION_BOUND_MILLIS,
+            stabilityMillis = 3000,
+            versionMillis = VERSION_BOUND_MILLIS,
+            retryBudgetRatio = 0.2,
+            retryBudgetWindowSeconds = 10,
+            retryBudgetAllowance = 100,
+            coldAllowance = 5,
+            eventRelayMillis = 120
+        ),
+        duties
     )
-)
 
 private fun route(
     path: String,
@@ -157,7 +167,7 @@
 
     /** Events that the gateway logs. */
     val events = LogCapture()
-    private val state = GatewayState(entrySettings(), Random(1))
+    private val state = GatewayState(entrySettings(duties = usageDuties), Random(1))
     private var starts = 0L
     private val server: GatewayServer
     private var configuration = TestConfiguration(
@@ -300,6 +310,20 @@
     fun callEngine(path: String = "/engine/"): String =
         call(path, extraHeaders = "Model: ${model.value}\r\n")
 
+    /** Requests that were counted as usage of the organisation. */
+    val usageCount: Long
+        get() = loop.executor.submit<Long> {
+            val window = state.exchange.trueMillis() / (noDuties.usageWindowSeconds * 1000)
+            (window - 3..window).sumOf {
+                state.exchange.totals(it)[OrganisationId("acme")] ?: 0
+            }
+        }.get()
+
+    /** Demand on the service without an engine. */
+    fun demand(): ServiceDemand = loop.executor.submit<ServiceDemand> {
+        state.exchange.demand.total(service, monotonicMillis()).single()
+    }.get()
+
     /** Number of requests that have been queued. */
     val queuedCount: Long get() = registry.counter("toucanspur.requests.waited").count().toLong()
 
