Accept fractions in the rate of calls to the operations API

Cause: the platform renders its rate as a decimal number (50.0), so every process of a deployment with duties ended at its start with exit code 2. A rate below one a second still allows one call.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
@@ -134,7 +134,7 @@
         EngineSection("none", ServiceId("none")),
         LimitsSection(430, 4200, 1000.0, 0, 500, 30_000, 4096, 64, 256),
         BoundsSection(2000, graceSeconds, 60_000, 5000, 2000, 3000, 8000, 0.2, 10, 100, 5, 120),
-        DutiesSection("none", "none", 10, 3000, 300, 5, 0.05, 10)
+        DutiesSection("none", "none", 10.0, 3000, 300, 5, 0.05, 10)
     )
 
     fun putConfiguration(version: Int, service: String, keys: String = "\"k\"") = store.put(
--- a/core/src/main/kotlin/org/toucanspur/core/duties/DutyCallRate.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/DutyCallRate.kt
@@ -5,7 +5,7 @@
 package org.toucanspur.core.duties
 
 /** Allows [callsPerSecond] calls in any second, and none for a time after one over the rate. */
-class DutyCallRate(private val callsPerSecond: Int) {
+class DutyCallRate(private val callsPerSecond: Double) {
     private val calls = ArrayDeque<Long>()
     private var blockedUntilMillis = Long.MIN_VALUE
     private var backoffMillis = BACKOFF_MIN_MILLIS
@@ -14,7 +14,7 @@
     fun tryCall(nowMillis: Long): Boolean {
         if (nowMillis < blockedUntilMillis) return false
         while (calls.isNotEmpty() && nowMillis - calls.first() >= PERIOD_MILLIS) calls.removeFirst()
-        if (calls.size >= callsPerSecond) return false
+        if (calls.size + 1 > maxOf(1.0, callsPerSecond)) return false
         calls.addLast(nowMillis)
         return true
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -39,7 +39,7 @@
 import org.toucanspur.schema.ZoneId
 
 /** Settings of a deployment without an operations API. */
-val noDuties = DutiesSection("none", "none", 10, 3000, 300, 5, 0.05, 10)
+val noDuties = DutiesSection("none", "none", 10.0, 3000, 300, 5, 0.05, 10)
 
 /** Settings of a deployment that reports usage. */
 val usageDuties = noDuties.copy(address = "127.0.0.1:1", duties = "usage_report")
