Store a record only in the tenure in which it was made

Change: the fencing number must be the same when the write begins; the interface says how a record has to be made.

--- a/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
@@ -28,7 +28,11 @@
      */
     val recordGapUntilMillis: Long get() = 0
 
-    /** Stores [record] with a renewal; true once the write is confirmed and the lease still held. */
+    /**
+     * Stores [record] with a renewal; true once the write is confirmed and the lease still held.
+     * The [record] must be made from the property of that name without suspending in between: in
+     * a later tenure it would lack what other holders have stored.
+     */
     suspend fun store(record: DutyRecord): Boolean
 }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/duties/DutyLeaseHolder.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/duties/DutyLeaseHolder.kt
@@ -54,14 +54,19 @@
     fun validMillis(permit: DutyPermit): Long =
         permit(1)?.takeIf { it.fencing == permit.fencing }?.validMillis ?: 0
 
-    override suspend fun store(record: DutyRecord): Boolean = recordWrites.withLock {
-        val write = RecordWrite(record)
-        recordWrite = write
-        wakeUps.trySend(Unit)
-        try {
-            write.isConfirmed.await()
-        } finally {
-            recordWrite = null
+    override suspend fun store(record: DutyRecord): Boolean {
+        val tenure = permit(1)?.fencing ?: return false
+        return recordWrites.withLock {
+            // A record of an earlier tenure lacks what other holders have stored since.
+            if (permit(1)?.fencing != tenure) return@withLock false
+            val write = RecordWrite(record)
+            recordWrite = write
+            wakeUps.trySend(Unit)
+            try {
+                write.isConfirmed.await()
+            } finally {
+                recordWrite = null
+            }
         }
     }
 
