--- a/core/src/main/kotlin/org/toucanspur/core/duties/EndpointScaling.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/EndpointScaling.kt
@@ -47,6 +47,8 @@
         orders: Map<ZoneId, Int>,
         nowMillis: Long
     ): Map<ZoneId, Int> {
+        // Before the callers begin, a part of the endpoints may not be listed yet.
+        if (history.startMillis == null && orders.isEmpty()) return emptyMap()
         val isFirst = isFirstOrder ?: orders.isEmpty().also { isFirstOrder = it }
         val bounds = scaling.minimum..scaling.maximum
         val targets = zones.mapValuesTo(HashMap()) { (zone, state) ->
--- a/core/src/main/kotlin/org/toucanspur/core/duties/LeaseStateMachine.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/LeaseStateMachine.kt
@@ -72,7 +72,6 @@
     private var observation: Observation? = null
     private var highestFencing = 0L
     private var writes = 0L
-    private var hasHeld = false
     private var isStopping = false
     private var nextAttemptMillis = Long.MIN_VALUE
     private var failures = 0
@@ -173,7 +172,6 @@
         failures = 0
         nextAttemptMillis = Long.MIN_VALUE
         observation = null
-        hasHeld = true
         held = Held(write.content, revision, write.startedAt)
         highestFencing = maxOf(highestFencing, write.content.fencing.value)
         record = write.content.record
@@ -201,9 +199,7 @@
         val seen = observation
         val found = seen?.found
         if (found is LeaseObject.Readable && isOwn(found)) {
-            return attempt(now) {
-                write(found.content.copy(incarnation = incarnation), found.revision, now)
-            }
+            return attempt(now) { write(found.content, found.revision, now) }
         }
         return attempt(now, seen?.let(::takeOverAtMillis)) {
             // The object is read once more after the wait: that costs less than a write that fails
@@ -322,13 +318,11 @@
     private fun isMine(content: LeaseContent) =
         content.holder == self && content.incarnation == incarnation && content.era == era
 
-    // Whether the object may be renewed without a wait. That of an earlier process on this VM may,
-    // but not once this process has held the lease: then another VM of the same name is running.
+    // Whether the object may be renewed without a wait. That of an earlier process of the same name
+    // may not: it may still run, on a VM that is being replaced.
     private fun isOwn(found: LeaseObject): Boolean {
         val content = (found as? LeaseObject.Readable)?.content ?: return false
-        val isOfVm = content.holder == self && content.era == era
-        val isOfProcess = content.incarnation == incarnation || !hasHeld
-        return isOfVm && isOfProcess && content.fencing.value >= highestFencing
+        return isMine(content) && content.fencing.value >= highestFencing
     }
 
     private fun observe(found: LeaseObject, now: ClockReading) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/duties/DutyWork.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/duties/DutyWork.kt
@@ -22,6 +22,9 @@
 private const val SCALING_DUTY = "scaling"
 private const val MILLIS_PER_SECOND = 1000L
 
+// The watch of the endpoints confirms the list every 10 s while nothing changes.
+private const val LIST_MAX_AGE_MILLIS = 15_000L
+
 /** Length of a usage window; null if the deployment reports no usage. */
 val DutiesSection.usageWindowMillis: Long?
     get() = if (hasDuty(USAGE_DUTY)) usageWindowSeconds * MILLIS_PER_SECOND else null
@@ -81,9 +84,10 @@
 
     private fun scaledServices(): List<ScaledServiceState> {
         val now = systemClocks.now()
-        // Without a current list of endpoints, it is not known how many there are.
-        val isKnown = state.exchange.isKnown() &&
-            state.storeFreshness[ObjectKind.ENDPOINTS].isFresh(now)
+        // Without a list of endpoints, it is not known how many there are.
+        val listAgeMillis = state.storeFreshness[ObjectKind.ENDPOINTS].ageMillis(now)
+        val isListed = listAgeMillis != null && listAgeMillis < LIST_MAX_AGE_MILLIS
+        val isKnown = state.exchange.isKnown() && isListed
         return state.configuration?.services?.values.orEmpty().mapNotNull { service ->
             val scaling = service.scaling ?: return@mapNotNull null
             val needed = neededEndpoints(
