Learn the speed of endpoints from their responses and place by it

Cause: placement predicts the same time for all endpoints of a service, so slow endpoints and slow spells of 600 ms get as many requests as the others. Plain services were assumed to take 20 ms and to stall after 150 ms, while callers see 43 to 57 ms and one call in a hundred takes five times that.

Change: each attempt is measured (AttemptTiming). ServiceTimes learns the usual call time, its tail, the gap between events and the bias of the model; EndpointTimes learns how far one run of an endpoint deviates from them and up to which concurrency it keeps its usual time. Placement multiplies its prediction by that, and falls back to the prediction without it where no endpoint would be left, so learning never refuses what was sent before. Failures and unsealed responses never lower an estimate. The stall time of plain services is the learned 99.8th percentile. Setting [routing] learning, event E519, gauges toucanspur.endpoints.slow and .narrowed.

Result: the gateway tests of core and daemon that were run (PlacementTest, RetryPolicyTest, FleetTest, OverloadSimulationTest, org.toucanspur.daemon.gateway) pass unchanged, except that the settings fixtures name the new section.

--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/PlatformEntryTest.kt
@@ -37,6 +37,8 @@
 import org.toucanspur.schema.NodeRole
 import org.toucanspur.schema.NodeSection
 import org.toucanspur.schema.RegionId
+import org.toucanspur.schema.RoutingLearning
+import org.toucanspur.schema.RoutingSection
 import org.toucanspur.schema.ServiceId
 import org.toucanspur.schema.StoreSection
 import org.toucanspur.schema.VmId
@@ -131,7 +133,8 @@
         StoreSection(store.address, 1200),
         EngineSection("none", ServiceId("none")),
         LimitsSection(430, 4200, 1000.0),
-        BoundsSection(2000, graceSeconds, 60_000, 5000, 2000, 3000, 8000, 0.2, 10, 100, 5, 120)
+        BoundsSection(2000, graceSeconds, 60_000, 5000, 2000, 3000, 8000, 0.2, 10, 100, 5, 120),
+        RoutingSection(RoutingLearning.ON)
     )
 
     fun putConfiguration(version: Int, service: String, keys: String = "\"k\"") = store.put(
--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -72,5 +72,9 @@
     ENDPOINT_LEAVING(515, "endpoint said that it is leaving"),
     ENDPOINT_BACKOFF(516, "endpoint asked for no requests for a time"),
     CALLER_TIMED_OUT(517, "connection of a caller closed by a time-out"),
-    CALLER_FAILED(518, "connection of a caller closed by an internal error")
+    CALLER_FAILED(518, "connection of a caller closed by an internal error"),
+    ENDPOINT_SPEED_CHANGED(
+        519,
+        "endpoint became slower than usual or takes its usual time again"
+    )
 }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -58,8 +58,15 @@
 class FleetEndpoint(
     record: EndpointRecord,
     val firstSeenMillis: Long,
-    random: Random = Random.Default
+    random: Random = Random.Default,
+    serviceTimes: ServiceTimes = ServiceTimes()
 ) {
+    /** Usual times of the endpoint's service. */
+    val usualTimes: ServiceTimes = serviceTimes
+
+    /** Learned speed of the endpoint. */
+    val times = EndpointTimes(serviceTimes)
+
     /** The latest endpoint record. */
     var record: EndpointRecord = record
         private set
@@ -108,6 +115,7 @@
             slowPathUntilMillis = 0
             rateLimit.reset()
             requestedBackoff.reset()
+            times.reset()
             isLeaving = false
         }
         record = changed
@@ -163,6 +171,9 @@
         return maxOf(own, reported)
     }
 
+    /** Whether the endpoint has sent data to this entry since [millis]. */
+    fun hasSentSince(millis: Long): Boolean = heardMillis >= millis
+
     /** Records that the endpoint has sent data to this entry. */
     fun onHeard(nowMillis: Long) {
         heardMillis = nowMillis
@@ -347,8 +358,10 @@
 /** All endpoints by id. */
 class Fleet(
     private val stabilityMillis: Long = STABILITY_MILLIS,
-    private val random: Random = Random.Default
+    private val random: Random = Random.Default,
+    private val isLearning: Boolean = true
 ) {
+    private val serviceTimes = HashMap<ServiceId, ServiceTimes>()
     private val endpoints = LinkedHashMap<EndpointId, FleetEndpoint>()
     private val byService = HashMap<ServiceId, MutableList<FleetEndpoint>>()
     private val byHost = HashMap<String, MutableList<FleetEndpoint>>()
@@ -359,6 +372,10 @@
     /** Endpoints of [service], including those that are draining. */
     fun of(service: ServiceId): List<FleetEndpoint> = byService[service].orEmpty()
 
+    /** Usual times of the endpoints of [service]. */
+    fun usualTimes(service: ServiceId): ServiceTimes =
+        serviceTimes.getOrPut(service) { ServiceTimes(isLearning) }
+
     /** Endpoints whose address is on [host]. */
     fun on(host: String): List<FleetEndpoint> = byHost[host].orEmpty()
 
@@ -417,7 +434,8 @@
             return
         }
         if (known != null) drop(record.id, nowMillis)
-        val endpoint = recall(record, nowMillis) ?: FleetEndpoint(record, nowMillis, random)
+        val endpoint = recall(record, nowMillis)
+            ?: FleetEndpoint(record, nowMillis, random, usualTimes(record.service))
         endpoints[record.id] = endpoint
         byService.getOrPut(record.service) { mutableListOf() } += endpoint
         addToHost(endpoint)
--- /dev/null
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
@@ -0,0 +1,247 @@
+/*
+ * What an entry learns about the speed of the endpoints of a service from their responses: the
+ * usual times of the service, and how far each endpoint deviates from them. Comparing endpoints
+ * with the service makes the result independent of errors that affect all endpoints alike, such as
+ * a wrong model of the engine. See docs/design/learned-endpoints.md.
+ */
+package org.toucanspur.core.gateway
+
+import kotlin.math.abs
+import kotlin.math.exp
+import kotlin.math.ln
+
+/** Usual times of the endpoints of one service. Not thread-safe. */
+class ServiceTimes(
+    /** Whether decisions use learned values instead of the initial ones. */
+    val isLearning: Boolean = true
+) {
+    private val call = QuantileEstimate(MEDIAN, DEFAULT_CALL_MILLIS)
+
+    // Relative to the median, so that it follows a change of the whole service at once.
+    private val tail = QuantileEstimate(
+        TAIL,
+        STALL_MIN_MILLIS / DEFAULT_CALL_MILLIS,
+        TAIL_STEP,
+        TAIL_STEP
+    )
+    private val gap = QuantileEstimate(MEDIAN, 1.0)
+    private val firstEvent = QuantileEstimate(MEDIAN, 1.0)
+
+    /** Typical duration of a call to a service without a model engine. */
+    val callMillis: Double get() = if (isLearning) call.value else DEFAULT_CALL_MILLIS
+
+    /** Duration that few calls to a service without a model engine exceed. */
+    val tailMillis: Long
+        get() = if (isLearning) (call.value * tail.value).toLong() else STALL_MIN_MILLIS
+
+    /** Typical time between two events of a stream; null while it is unknown. */
+    val gapMillis: Double? get() = gap.value.takeIf { gap.isLearned }
+
+    /** Typical ratio of the time to the first event to the prediction. */
+    val firstEventRatio: Double get() = firstEvent.value
+
+    /** Records that a call took [millis], or at least as long if it was moved elsewhere. */
+    fun onCall(millis: Double) {
+        tail.observe(millis / call.value)
+        tail.coerceIn(TAIL_RATIO_MIN..TAIL_RATIO_MAX)
+        call.observe(millis)
+        call.coerceIn(CALL_MIN_MILLIS..CALL_MAX_MILLIS)
+    }
+
+    /** Records the time between two events of a stream. */
+    fun onGap(millis: Double) = if (gap.isLearned) gap.observe(millis) else gap.startAt(millis)
+
+    /** Records the [ratio] of a time to the first event to its prediction. */
+    fun onFirstEvent(ratio: Double) = firstEvent.observe(ratio)
+
+    private companion object {
+        const val MEDIAN = 0.5
+
+        // One call in a hundred regularly takes five times as long and must not be moved.
+        const val TAIL = 0.998
+        const val TAIL_STEP = 0.04
+        const val TAIL_RATIO_MIN = 3.0
+        const val TAIL_RATIO_MAX = 20.0
+        const val CALL_MIN_MILLIS = 1.0
+        const val CALL_MAX_MILLIS = 10_000.0
+
+        // Typical duration of a call before any has been observed.
+        const val DEFAULT_CALL_MILLIS = 20.0
+
+        // Stall time before any call has been observed.
+        const val STALL_MIN_MILLIS = 150L
+    }
+}
+
+/** Deviation of one run of an endpoint from the usual times of its service. Not thread-safe. */
+class EndpointTimes(private val service: ServiceTimes) {
+    private var responses = DecayingRatio(RESPONSE_HALF_LIFE_MILLIS)
+    private var gaps = DecayingRatio(GAP_HALF_LIFE_MILLIS)
+    private var concurrency = ConcurrencyEstimate()
+    private var streams = 0
+    private var lastEventMillis = 0L
+    private var lastGapMillis = 0L
+    private var run = 0
+    private var isReportedSlow = false
+    private var reportedMillis = Long.MIN_VALUE / 2
+
+    /** Forgets all, for a new run of the endpoint. */
+    fun reset() {
+        responses = DecayingRatio(RESPONSE_HALF_LIFE_MILLIS)
+        gaps = DecayingRatio(GAP_HALF_LIFE_MILLIS)
+        concurrency = ConcurrencyEstimate()
+        streams = 0
+        run++
+    }
+
+    /** Times an attempt that is [expectedMillis] long by the model and one of [concurrent]. */
+    fun begin(
+        isStream: Boolean,
+        expectedMillis: Double,
+        concurrent: Int,
+        slots: Int,
+        sentMillis: Long
+    ): AttemptTiming = Attempt(isStream, expectedMillis, concurrent, slots, sentMillis)
+
+    /**
+     * Factor by which the endpoint is slower than usual at [nowMillis]; 1 within the usual
+     * variation.
+     */
+    fun slowdown(nowMillis: Long): Double {
+        if (!service.isLearning) return 1.0
+        val measured = maxOf(responses.logAt(nowMillis), gaps.logAt(nowMillis))
+        val log = maxOf(measured, overdueLog(nowMillis))
+        return if (log < SLOW_LOG && log > -FAST_LOG) 1.0 else exp(log)
+    }
+
+    /** Number of concurrent requests that the endpoint handles well, [slots] at most. */
+    fun concurrencyLimit(slots: Int, nowMillis: Long): Double =
+        if (service.isLearning) concurrency.limit(slots, nowMillis) else slots.toDouble()
+
+    /**
+     * Whether the endpoint has changed between usual and slow and this has to be reported, which is
+     * the case once in [CHANGE_INTERVAL_MILLIS] at most.
+     */
+    fun takeChange(nowMillis: Long): Boolean {
+        val isSlow = slowdown(nowMillis) > 1
+        if (isSlow == isReportedSlow) return false
+        if (nowMillis - reportedMillis < CHANGE_INTERVAL_MILLIS) return false
+        isReportedSlow = isSlow
+        reportedMillis = nowMillis
+        return true
+    }
+
+    // All streams at an engine get an event in each pass, so the time since the last event shows
+    // that a pass is slow before it ends.
+    private fun overdueLog(nowMillis: Long): Double {
+        val gapMillis = service.gapMillis ?: return 0.0
+        if (streams == 0) return 0.0
+        val ratio = (nowMillis - lastEventMillis) / gapMillis
+        return if (ratio < OVERDUE_RATIO) 0.0 else ln(minOf(ratio, OVERDUE_RATIO_MAX))
+    }
+
+    private fun onGap(millis: Long, nowMillis: Long) {
+        val usualMillis = service.gapMillis
+        // The events of one pass, which arrive together, give one observation.
+        val isSamePass = usualMillis != null && nowMillis - lastGapMillis < usualMillis / 2
+        if (isSamePass || millis < GAP_MIN_MILLIS) return
+        lastGapMillis = nowMillis
+        service.onGap(millis.toDouble())
+        usualMillis?.let { gaps.observe(millis / it, nowMillis) }
+    }
+
+    private inner class Attempt(
+        private val isStream: Boolean,
+        private val expectedMillis: Double,
+        private val concurrent: Int,
+        private val slots: Int,
+        private val sentMillis: Long
+    ) : AttemptTiming {
+        private val ownRun = run
+        private var isOpen = true
+        private var eventMillis = 0L
+
+        private val isValid: Boolean get() = isOpen && ownRun == run
+
+        override fun onEvents(nowMillis: Long) {
+            if (!isValid || !isStream) return
+            if (eventMillis == 0L) {
+                streams++
+                val ratio = (nowMillis - sentMillis) / expectedMillis
+                service.onFirstEvent(ratio)
+                onResponse(ratio / service.firstEventRatio, true, nowMillis)
+            } else {
+                onGap(nowMillis - eventMillis, nowMillis)
+            }
+            eventMillis = nowMillis
+            lastEventMillis = nowMillis
+        }
+
+        override fun onComplete(isSuccess: Boolean, nowMillis: Long) {
+            if (isValid && !isStream) {
+                val millis = maxOf(1, nowMillis - sentMillis).toDouble()
+                val usualMillis = service.callMillis
+                if (isSuccess) service.onCall(millis)
+                onResponse(millis / usualMillis, isSuccess, nowMillis)
+            }
+            close()
+        }
+
+        override fun onMoved(hasSentSince: Boolean, nowMillis: Long) {
+            if (isValid && !isStream) {
+                val millis = (nowMillis - sentMillis).toDouble()
+                // An endpoint that has sent nothing may be down; that is no duration of a call.
+                if (hasSentSince) service.onCall(millis)
+                responses.observe(millis / service.callMillis, nowMillis, isSound = false)
+            }
+            close()
+        }
+
+        override fun close() {
+            if (isValid && eventMillis > 0) streams--
+            isOpen = false
+        }
+
+        private fun onResponse(ratio: Double, isSound: Boolean, nowMillis: Long) {
+            responses.observe(ratio, nowMillis, isSound)
+            if (isSound) concurrency.observe(ratio, concurrent, slots, nowMillis)
+        }
+    }
+
+    private companion object {
+        const val CHANGE_INTERVAL_MILLIS = 10_000L
+        val SLOW_LOG = ln(DecayingRatio.SLOW_RATIO)
+        val FAST_LOG = abs(ln(0.7))
+
+        // Slow spells of engines last about 600 ms. Without events, the estimate is forgotten soon.
+        const val GAP_HALF_LIFE_MILLIS = 400.0
+
+        // An endpoint that is three times as slow gets a request about every five seconds.
+        const val RESPONSE_HALF_LIFE_MILLIS = 3000.0
+
+        // Prefills of several prompts in one pass double the usual gap.
+        const val OVERDUE_RATIO = 2.2
+        const val OVERDUE_RATIO_MAX = 3.0
+
+        // Parts of one event stream that arrive this close together were sent together.
+        const val GAP_MIN_MILLIS = 8L
+    }
+}
+
+/** Measures one attempt at an endpoint. Calls after [close] have no effect. */
+interface AttemptTiming {
+    /** Records that complete events of a successful stream have arrived. */
+    fun onEvents(nowMillis: Long)
+
+    /** Records the end of a response and ends the measurement. */
+    fun onComplete(isSuccess: Boolean, nowMillis: Long)
+
+    /**
+     * Records that the request is moved to another endpoint because the response takes too long;
+     * [hasSentSince] if the endpoint has sent anything since it got the request.
+     */
+    fun onMoved(hasSentSince: Boolean, nowMillis: Long)
+
+    /** Ends the measurement, because the attempt failed or the caller does not read. */
+    fun close()
+}
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -30,8 +30,15 @@
 
 /** Placement decision for one request. */
 sealed interface Placement {
-    /** Send to [endpoint], with the first byte predicted after [firstByteMillis]. */
-    data class Send(val endpoint: FleetEndpoint, val firstByteMillis: Double) : Placement
+    /**
+     * Send to [endpoint], with the first byte predicted after [firstByteMillis], and after
+     * [modelMillis] by the model alone, without the speed of this endpoint.
+     */
+    data class Send(
+        val endpoint: FleetEndpoint,
+        val firstByteMillis: Double,
+        val modelMillis: Double = firstByteMillis
+    ) : Placement
 
     /**
      * All endpoints are busy; the earliest first byte is predicted after [firstByteMillis]. If all
@@ -52,16 +59,19 @@
     private val coldAllowance: Int,
     private val random: Random
 ) {
-    /** Selects an endpoint whose predicted time to the first byte is within [budgetMillis]. */
+    /**
+     * Selects an endpoint whose predicted time to the first byte is within [budgetMillis]. If the
+     * learned speeds leave none, they only order the endpoints that are within it by the model: a
+     * late response is better than none, and the learned values may be out of date.
+     */
     fun place(
         query: PlacementQuery,
         budgetMillis: Double,
         nowMillis: Long,
         entryCount: Int
     ): Placement {
-        var best: FleetEndpoint? = null
-        var bestCost = Double.MAX_VALUE
-        var bestFirstByteMillis = Double.MAX_VALUE
+        var best: Candidate? = null
+        var fallback: Candidate? = null
         var earliestMillis = Double.MAX_VALUE
         var firstOpensInMillis = Long.MAX_VALUE
         for (endpoint in fleet.of(query.service.id)) {
@@ -72,25 +82,30 @@
                 firstOpensInMillis = minOf(firstOpensInMillis, backoffMillis)
                 continue
             }
-            val predicted = firstByteMillis(endpoint, query, nowMillis, entryCount)
-            earliestMillis = minOf(earliestMillis, predicted + opensInMillis)
+            val prediction = predict(endpoint, query, nowMillis, entryCount)
+            val leastMillis = minOf(prediction.millis, prediction.unlearnedMillis)
+            earliestMillis = minOf(earliestMillis, leastMillis + opensInMillis)
             firstOpensInMillis = minOf(firstOpensInMillis, opensInMillis)
             if (opensInMillis > 0 ||
-                predicted > budgetMillis ||
+                leastMillis > budgetMillis ||
                 !hasCapacity(endpoint, query, nowMillis, entryCount)
             ) {
                 continue
             }
-            val cost = predicted + localityPenaltyMillis(endpoint) +
+            val cost = prediction.millis + localityPenaltyMillis(endpoint) +
                 failureShare(endpoint, nowMillis) * FAILURE_PENALTY_MILLIS +
                 random.nextDouble() * JITTER_MILLIS
-            if (cost < bestCost) {
-                best = endpoint
-                bestCost = cost
-                bestFirstByteMillis = predicted
+            if (prediction.millis > budgetMillis) {
+                if (cost < (fallback?.cost ?: Double.MAX_VALUE)) {
+                    fallback = Candidate(endpoint, prediction, cost)
+                }
+            } else if (cost < (best?.cost ?: Double.MAX_VALUE)) {
+                best = Candidate(endpoint, prediction, cost)
             }
         }
-        if (best != null) return Placement.Send(best, bestFirstByteMillis)
+        (best ?: fallback)?.let {
+            return Placement.Send(it.endpoint, it.prediction.millis, it.prediction.modelMillis)
+        }
         return when {
             earliestMillis < Double.MAX_VALUE -> Placement.Busy(earliestMillis, firstOpensInMillis)
             firstOpensInMillis in 1 until Long.MAX_VALUE ->
@@ -99,6 +114,19 @@
         }
     }
 
+    private class Candidate(
+        val endpoint: FleetEndpoint,
+        val prediction: Prediction,
+        val cost: Double
+    )
+
+    /** Times to the first byte: with the learned speed, without it, and by the model alone. */
+    private class Prediction(
+        val millis: Double,
+        val unlearnedMillis: Double,
+        val modelMillis: Double
+    )
+
     private fun isEligible(
         endpoint: FleetEndpoint,
         query: PlacementQuery,
@@ -154,24 +182,41 @@
         return endpoint.isWithinColdRate(coldRateLimit, entryCount, nowMillis)
     }
 
-    private fun firstByteMillis(
+    private fun predict(
         endpoint: FleetEndpoint,
         query: PlacementQuery,
         nowMillis: Long,
         entryCount: Int
-    ): Double {
+    ): Prediction {
         val occupancy = endpoint.occupancy(nowMillis, entryCount)
         val slots = maxOf(1, endpoint.record.slots)
-        val ahead = maxOf(0, occupancy - slots + 1)
         val engine = query.service.engine
-            ?: return DEFAULT_CALL_MILLIS + ahead * DEFAULT_CALL_MILLIS / slots
-        val slowdown =
+        val learned = endpoint.times.slowdown(nowMillis)
+        val limit = endpoint.times.concurrencyLimit(slots, nowMillis)
+        val beyondLimit = if (limit < slots) maxOf(0.0, occupancy + 1 - limit) / limit else 0.0
+        if (engine == null) {
+            val calls = 1 + maxOf(0, occupancy - slots + 1) / slots.toDouble()
+            val usual = endpoint.usualTimes.callMillis * calls
+            return Prediction(
+                usual * learned * (1 + beyondLimit),
+                DEFAULT_CALL_MILLIS * calls,
+                usual
+            )
+        }
+        val reported =
             (endpoint.freshReport(nowMillis)?.pacePercent ?: PERCENT) / PERCENT.toDouble()
         // Other entries may fill the free slots in the report that are not allotted to this entry.
         val unreportedArrivals =
             if (endpoint.ownFreeSlots(nowMillis) > 0) 0.0 else UNREPORTED_ARRIVALS
-        return maxOf(1.0, slowdown) *
+        val model =
             predictedFirstEventMillis(engine, occupancy, query.promptTokens, unreportedArrivals)
+        // A report of normal speed does not outweigh slow responses.
+        val slowdown = if (reported > 1.0) maxOf(reported, learned) else learned
+        return Prediction(
+            slowdown * model * (1 + beyondLimit),
+            maxOf(1.0, reported) * model,
+            model
+        )
     }
 
     private fun failureShare(endpoint: FleetEndpoint, nowMillis: Long): Double =
@@ -186,7 +231,7 @@
     private companion object {
         const val PERCENT = 100
 
-        // Typical duration of a call to a service without a model engine.
+        // Typical duration of a call to a service without a model engine, unless it is learned.
         const val DEFAULT_CALL_MILLIS = 20.0
 
         // Traffic between regions is billed. An endpoint in the same region is preferred as long as
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/RetryPolicy.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/RetryPolicy.kt
@@ -57,10 +57,15 @@
 
 /**
  * Time without progress after which a retryable request is sent to another endpoint, provided that
- * one has a free slot immediately.
+ * one has a free slot immediately. A call to a service without a model engine is moved only after
+ * [tailMillis], which few calls exceed.
  */
-fun stallMillis(route: TrafficRoute, isCommitted: Boolean): Long = when {
-    route.kind != CallKind.STREAM -> maxOf(STALL_MIN_MILLIS, route.targetMillis)
+fun stallMillis(
+    route: TrafficRoute,
+    isCommitted: Boolean,
+    tailMillis: Long = STALL_MIN_MILLIS
+): Long = when {
+    route.kind != CallKind.STREAM -> maxOf(tailMillis, route.targetMillis)
     isCommitted -> route.eventGapTargetMillis * STALL_EVENT_GAPS
     else -> route.targetMillis * STALL_TARGETS
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -10,6 +10,7 @@
 import io.netty.util.concurrent.ScheduledFuture
 import java.io.ByteArrayOutputStream
 import org.toucanspur.core.gateway.AttemptOutcome
+import org.toucanspur.core.gateway.AttemptTiming
 import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRun
@@ -151,6 +152,7 @@
     var deadlineTimer: ScheduledFuture<*>? = null
 
     private var exchange: EndpointExchange? = null
+    private var timing: AttemptTiming? = null
     private var responseHead: HttpResponse? = null
     private var eventSplitter: EventStreamSplitter? = null
     private var bufferedBody = ByteArrayOutputStream(0)
@@ -176,17 +178,22 @@
         deadlineMillis = minOf(deadlineMillis, millis)
     }
 
-    /** Sends the call to [target] through [newExchange], to start on [version] or any if 0. */
+    /**
+     * Sends the call to [target] through [newExchange], to start on [version] or any if 0. The
+     * attempt is measured by [newTiming].
+     */
     fun send(
         target: FleetEndpoint,
         newExchange: EndpointExchange,
         connectTimeoutMillis: Int,
-        version: Long
+        version: Long,
+        newTiming: AttemptTiming
     ) {
         endpoint = target
         versionMin = version
         endpointRun = EndpointRun(target.record.id, target.record.startedAtMillis)
         exchange = newExchange
+        timing = newTiming
         responseHead = null
         eventSplitter = null
         bufferedBody = ByteArrayOutputStream(0)
@@ -196,7 +203,7 @@
         lastProgressMillis = sentMillis
         target.onAttempt(sentMillis)
         newExchange.start(connectTimeoutMillis)
-        if (!connection.isWritable) newExchange.setReading(false)
+        if (!connection.isWritable) setReading(false)
     }
 
     /**
@@ -208,6 +215,8 @@
     fun leaveSilentEndpoint() {
         val current = exchange ?: return
         val target = endpoint ?: return
+        timing?.onMoved(target.hasSentSince(sentMillis), monotonicMillis())
+        timing = null
         if (isAwaitingResponse || silentAttempt != null) {
             cancelAttempt()
             return
@@ -296,6 +305,8 @@
 
     private fun releaseEndpoint() {
         exchange = null
+        timing?.close()
+        timing = null
         reportBuffered()
         endpoint?.let {
             it.onEnd()
@@ -454,6 +465,7 @@
         if (batch == null) return
         commit()
         attemptEvents++
+        timing?.onEvents(lastProgressMillis)
         if (attemptEvents == PROGRESS_EVENTS) delegate.crashes.onProgress(this)
         batch.lastEventId?.let { lastEventId = it }
         connection.writeChunk(batch.bytes)
@@ -510,6 +522,7 @@
         val response = responseHead
         val status = response?.status()?.code() ?: OK
         if (status in SUCCESS) delegate.crashes.onComplete(this)
+        timing?.onComplete(status in SUCCESS, monotonicMillis())
         recordAttempt(AttemptOutcome.MAY_HAVE_RUN)
         releaseEndpoint()
         complete(response, status)
@@ -547,6 +560,8 @@
     fun setReading(isReading: Boolean) {
         // The silence of the endpoint counts from here: nothing was read from it before.
         if (isReading) lastProgressMillis = monotonicMillis()
+        // What arrives after a pause shows the speed of the caller, not of the endpoint.
+        if (!isReading) timing?.close()
         exchange?.setReading(isReading)
         silentAttempt?.exchange?.setReading(isReading)
     }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -22,7 +22,6 @@
 import org.toucanspur.core.gateway.RetryDecision
 import org.toucanspur.core.gateway.WaitPolicy
 import org.toucanspur.core.gateway.decideRetry
-import org.toucanspur.core.gateway.stallMillis
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.daemon.net.NettyEventLoop
@@ -43,6 +42,7 @@
     private val placements = CallPlacement(state, versions)
     private val statements = EndpointStatements(log)
     private val callLog = CallLog(log, state)
+    private val speeds = EndpointSpeeds(state, log)
     override val crashes = CrashObserver(state, log, metrics)
     private val queue = CallQueue<Call>(queueMax)
     private val responseMemory = ResponseMemory<Call>(responseMemoryBytes)
@@ -214,7 +214,8 @@
         call.predictedMillis = placement.firstByteMillis
         val listener = GuardedExchangeListener(call) { onInternalError(call, it) }
         val exchange = EndpointExchange(loop, request, listener)
-        call.send(endpoint, exchange, CONNECT_TIMEOUT_MILLIS, versionMin)
+        val timing = speeds.begin(call, placement, now)
+        call.send(endpoint, exchange, CONNECT_TIMEOUT_MILLIS, versionMin, timing)
     }
 
     private fun refusalBeforeSend(call: Call, nowMillis: Long): Refusal? {
@@ -453,7 +454,7 @@
         // Nothing is read from the endpoint while the caller does not read.
         if (!call.connection.isWritable) return
         val silentMillis = untilMillis - call.lastProgressMillis
-        if (silentMillis < stallMillis(call.route, call.isCommitted)) return
+        if (silentMillis < speeds.stallMillis(call)) return
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return
         val nowMillis = monotonicMillis()
         // A call that no other endpoint may get stays where it is.
@@ -476,7 +477,7 @@
     private fun leaveIfSilent(call: Call, untilMillis: Long) {
         val endpoint = call.endpoint ?: return
         val silentMillis = untilMillis - call.lastProgressMillis
-        val isStalled = silentMillis >= stallMillis(call.route, call.isCommitted)
+        val isStalled = silentMillis >= speeds.stallMillis(call)
         if (!isStalled || !endpoint.isSilent(untilMillis)) return
         endpoint.onSignal(EndpointSignal.TRANSPORT_FAILURE, monotonicMillis())
         endpoint.onSlowPath(monotonicMillis())
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -104,6 +104,12 @@
             it.unreadableRecords.size.toDouble()
         }
         registerEndpointGauge("toucanspur.endpoints.limited") { it.limitPerSecond != null }
+        registerEndpointGauge("toucanspur.endpoints.slow") {
+            it.times.slowdown(monotonicMillis()) > 1
+        }
+        registerEndpointGauge("toucanspur.endpoints.narrowed") {
+            it.times.concurrencyLimit(it.record.slots, monotonicMillis()) < it.record.slots
+        }
         registerEndpointGauge("toucanspur.endpoints.leaving") { it.isLeaving }
         registerEndpointGauge("toucanspur.endpoints.backing.off") {
             it.requestedBackoffMillis(monotonicMillis()) > 0
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -29,6 +29,7 @@
 import org.toucanspur.platform.RecordFault
 import org.toucanspur.schema.NodeConfiguration
 import org.toucanspur.schema.RegionId
+import org.toucanspur.schema.RoutingLearning
 import org.toucanspur.schema.ServiceId
 import org.toucanspur.schema.ZoneId
 
@@ -91,7 +92,11 @@
             ObjectKind.WEIGHT_VERSIONS in listedKinds
 
     /** All known endpoints. */
-    val fleet = Fleet(settings.bounds.stabilityMillis.toLong(), random)
+    val fleet = Fleet(
+        settings.bounds.stabilityMillis.toLong(),
+        random,
+        settings.routing.learning == RoutingLearning.ON
+    )
 
     /** Objects in the list of endpoints that name no endpoint, by name. */
     val unreadableRecords = HashMap<String, RecordFault>()
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -31,6 +31,8 @@
 import org.toucanspur.schema.NodeSection
 import org.toucanspur.schema.OrganisationId
 import org.toucanspur.schema.RegionId
+import org.toucanspur.schema.RoutingLearning
+import org.toucanspur.schema.RoutingSection
 import org.toucanspur.schema.ServiceId
 import org.toucanspur.schema.StoreSection
 import org.toucanspur.schema.VmId
@@ -72,7 +74,8 @@
         retryBudgetAllowance = 100,
         coldAllowance = 5,
         eventRelayMillis = 120
-    )
+    ),
+    RoutingSection(RoutingLearning.ON)
 )
 
 private fun route(
