--- a/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
@@ -9,6 +9,7 @@
 import kotlin.math.abs
 import kotlin.math.exp
 import kotlin.math.ln
+import kotlin.math.roundToLong
 
 /** Usual times of the endpoints of one service. Not thread-safe. */
 class ServiceTimes(
@@ -32,27 +33,30 @@
 
     /** Duration that few calls to a service without a model engine exceed. */
     val tailMillis: Long
-        get() = if (isLearning) (call.value * tail.value).toLong() else STALL_MIN_MILLIS
+        get() = if (isLearning) (call.value * tail.value).roundToLong() else STALL_MIN_MILLIS
 
     /** Typical time between two events of a stream; null while it is unknown. */
-    val gapMillis: Double? get() = gap.value.takeIf { gap.isLearned }
+    val gapMillis: Double? get() = gap.value.takeIf { gap.isSettled }
 
-    /** Typical ratio of the time to the first event to the prediction. */
-    val firstEventRatio: Double get() = firstEvent.value
+    /** Duration with which calls of endpoints are compared; null while it is unknown. */
+    val comparableCallMillis: Double? get() = call.value.takeIf { call.isSettled }
+
+    /** Typical ratio of the time to the first event to the prediction; null while it is unknown. */
+    val firstEventRatio: Double? get() = firstEvent.value.takeIf { firstEvent.isSettled }
 
     /** Records that a call took [millis], or at least as long if it was moved elsewhere. */
     fun onCall(millis: Double) {
         tail.observe(millis / call.value)
         tail.coerceIn(TAIL_RATIO_MIN..TAIL_RATIO_MAX)
-        call.observe(millis)
+        call.observeFromFirst(millis)
         call.coerceIn(CALL_MIN_MILLIS..CALL_MAX_MILLIS)
     }
 
     /** Records the time between two events of a stream. */
-    fun onGap(millis: Double) = if (gap.isLearned) gap.observe(millis) else gap.startAt(millis)
+    fun onGap(millis: Double) = gap.observeFromFirst(millis)
 
     /** Records the [ratio] of a time to the first event to its prediction. */
-    fun onFirstEvent(ratio: Double) = firstEvent.observe(ratio)
+    fun onFirstEvent(ratio: Double) = firstEvent.observeFromFirst(ratio)
 
     private companion object {
         const val MEDIAN = 0.5
@@ -169,7 +173,7 @@
                 streams++
                 val ratio = (nowMillis - sentMillis) / expectedMillis
                 service.onFirstEvent(ratio)
-                onResponse(ratio / service.firstEventRatio, true, nowMillis)
+                service.firstEventRatio?.let { onResponse(ratio / it, true, nowMillis) }
             } else {
                 onGap(nowMillis - eventMillis, nowMillis)
             }
@@ -180,9 +184,9 @@
         override fun onComplete(isSuccess: Boolean, nowMillis: Long) {
             if (isValid && !isStream) {
                 val millis = maxOf(1, nowMillis - sentMillis).toDouble()
-                val usualMillis = service.callMillis
+                val usualMillis = service.comparableCallMillis
                 if (isSuccess) service.onCall(millis)
-                onResponse(millis / usualMillis, isSuccess, nowMillis)
+                usualMillis?.let { onResponse(millis / it, isSuccess, nowMillis) }
             }
             close()
         }
@@ -192,7 +196,7 @@
                 val millis = (nowMillis - sentMillis).toDouble()
                 // An endpoint that has sent nothing may be down; that is no duration of a call.
                 if (hasSentSince) service.onCall(millis)
-                responses.observe(millis / service.callMillis, nowMillis, isSound = false)
+                service.comparableCallMillis?.let { onResponse(millis / it, false, nowMillis) }
             }
             close()
         }
@@ -216,11 +220,11 @@
         // Slow spells of engines last about 600 ms. Without events, the estimate is forgotten soon.
         const val GAP_HALF_LIFE_MILLIS = 400.0
 
-        // An endpoint that is three times as slow gets a request about every five seconds.
-        const val RESPONSE_HALF_LIFE_MILLIS = 3000.0
+        // An endpoint that is 2.5 times as slow gets a request after about eight seconds.
+        const val RESPONSE_HALF_LIFE_MILLIS = 4000.0
 
-        // Prefills of several prompts in one pass double the usual gap.
-        const val OVERDUE_RATIO = 2.2
+        // Prefills of several prompts in one pass nearly double the usual gap.
+        const val OVERDUE_RATIO = 2.0
         const val OVERDUE_RATIO_MAX = 3.0
 
         // Parts of one event stream that arrive this close together were sent together.
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedValues.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedValues.kt
@@ -25,8 +25,8 @@
     /** Current estimate. */
     val value: Double get() = exp(logValue)
 
-    /** Whether any observation has been made. */
-    val isLearned: Boolean get() = count > 0
+    /** Whether enough observations have been made to compare others with the estimate. */
+    val isSettled: Boolean get() = count >= SETTLED_COUNT
 
     /** Applies an observed [quantity]. */
     fun observe(quantity: Double) {
@@ -35,10 +35,14 @@
         logValue += if (quantity > value) step * share * 2 else -step * (1 - share) * 2
     }
 
-    /** Replaces the estimate by [quantity] before the first observation. */
-    fun startAt(quantity: Double) {
-        logValue = ln(quantity)
-        count = 1
+    /** Applies an observed [quantity]; the first one replaces the start value. */
+    fun observeFromFirst(quantity: Double) {
+        if (count > 0) {
+            observe(quantity)
+        } else {
+            logValue = ln(quantity)
+            count = 1
+        }
     }
 
     /** Keeps the estimate within [range]. */
@@ -52,6 +56,7 @@
         // A change of a whole service to 2.5 times its time is followed within 50 responses.
         const val STEP_MIN = 0.02
         const val COUNT_MAX = 1000
+        const val SETTLED_COUNT = 10
     }
 }
 
@@ -87,13 +92,13 @@
 
     companion object {
         /** Ratio from which an endpoint counts as slower than usual. */
-        const val SLOW_RATIO = 1.4
+        const val SLOW_RATIO = 1.25
         private const val RATIO_MIN = 0.5
         private const val RATIO_MAX = 4.0
 
-        // One observation of RATIO_MAX gives a ratio of 1.39.
-        private const val RISE_WEIGHT = 0.24
-        private const val REPEATED_RISE_WEIGHT = 0.6
+        // One observation of RATIO_MAX gives a ratio of 1.23.
+        private const val RISE_WEIGHT = 0.15
+        private const val REPEATED_RISE_WEIGHT = 0.7
         private const val FALL_WEIGHT = 0.2
     }
 }
