--- a/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
@@ -86,6 +86,8 @@
     private var lastEventMillis = 0L
     private var lastGapMillis = 0L
     private var run = 0
+    private var slowdown = 1.0
+    private var slowdownMillis = Long.MIN_VALUE
     private var isReportedSlow = false
     private var reportedMillis = Long.MIN_VALUE / 2
 
@@ -96,6 +98,7 @@
         concurrency = ConcurrencyEstimate()
         streams = 0
         run++
+        onChanged()
     }
 
     /** Times an attempt that is [expectedMillis] long by the model and one of [concurrent]. */
@@ -113,6 +116,15 @@
      */
     fun slowdown(nowMillis: Long): Double {
         if (!service.isLearning) return 1.0
+        // All waiting calls are placed at one time, so most reads of a drain repeat the last one.
+        if (nowMillis != slowdownMillis) {
+            slowdown = computeSlowdown(nowMillis)
+            slowdownMillis = nowMillis
+        }
+        return slowdown
+    }
+
+    private fun computeSlowdown(nowMillis: Long): Double {
         val measured = maxOf(responses.logAt(nowMillis), gaps.logAt(nowMillis))
         val log = maxOf(measured, overdueLog(nowMillis))
         return if (log < SLOW_LOG && log > -FAST_LOG) 1.0 else exp(log)
@@ -144,6 +156,10 @@
         return if (ratio < OVERDUE_RATIO) 0.0 else ln(minOf(ratio, OVERDUE_RATIO_MAX))
     }
 
+    private fun onChanged() {
+        slowdownMillis = Long.MIN_VALUE
+    }
+
     private fun onGap(millis: Long, nowMillis: Long) {
         val usualMillis = service.gapMillis
         // The events of one pass, which arrive together, give one observation.
@@ -179,6 +195,7 @@
             }
             eventMillis = nowMillis
             lastEventMillis = nowMillis
+            onChanged()
         }
 
         override fun onComplete(isSuccess: Boolean, nowMillis: Long) {
@@ -204,6 +221,7 @@
         override fun close() {
             if (isValid && eventMillis > 0) streams--
             isOpen = false
+            onChanged()
         }
 
         private fun onResponse(ratio: Double, isSound: Boolean, nowMillis: Long) {
