Keep the initial stall time until the median call time is known

Cause: the tail is kept relative to the median, so the first calls of 43 ms raised the stall time from 150 to 320 ms before any slow call was seen; a lost plain endpoint would have been left later.

The selection of the cheapest endpoint is a class of its own.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
@@ -46,7 +46,12 @@
 
     /** Records that a call took [millis], or at least as long if it was moved elsewhere. */
     fun onCall(millis: Double) {
-        tail.observe(millis / call.value)
+        // Until the median is known, the tail stays at its initial value.
+        if (call.isSettled) {
+            tail.observe(millis / call.value)
+        } else {
+            tail.startAt(STALL_MIN_MILLIS / call.value)
+        }
         tail.coerceIn(TAIL_RATIO_MIN..TAIL_RATIO_MAX)
         call.observeFromFirst(millis)
         call.coerceIn(CALL_MIN_MILLIS..CALL_MAX_MILLIS)
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedValues.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedValues.kt
@@ -9,9 +9,9 @@
 import kotlin.math.pow
 
 /**
- * Estimates the quantile [share] of a positive quantity by stochastic approximation on a logarithmic
- * scale. An observation moves the estimate by a bounded step, so single outliers have little effect,
- * and one that is only known to exceed the estimate counts fully.
+ * Estimates the quantile [share] of a positive quantity by stochastic approximation on a
+ * logarithmic scale. An observation moves the estimate by a bounded step, so single outliers have
+ * little effect, and one that is only known to exceed the estimate counts fully.
  */
 class QuantileEstimate(
     private val share: Double,
@@ -35,12 +35,17 @@
         logValue += if (quantity > value) step * share * 2 else -step * (1 - share) * 2
     }
 
+    /** Replaces the estimate by [quantity]. */
+    fun startAt(quantity: Double) {
+        logValue = ln(quantity)
+    }
+
     /** Applies an observed [quantity]; the first one replaces the start value. */
     fun observeFromFirst(quantity: Double) {
         if (count > 0) {
             observe(quantity)
         } else {
-            logValue = ln(quantity)
+            startAt(quantity)
             count = 1
         }
     }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -70,8 +70,7 @@
         nowMillis: Long,
         entryCount: Int
     ): Placement {
-        var best: Candidate? = null
-        var fallback: Candidate? = null
+        val selection = Selection(budgetMillis)
         var earliestMillis = Double.MAX_VALUE
         var firstOpensInMillis = Long.MAX_VALUE
         for (endpoint in fleet.of(query.service.id)) {
@@ -95,18 +94,11 @@
             val cost = prediction.millis + localityPenaltyMillis(endpoint) +
                 failureShare(endpoint, nowMillis) * FAILURE_PENALTY_MILLIS +
                 random.nextDouble() * JITTER_MILLIS
-            if (prediction.millis > budgetMillis) {
-                if (cost < (fallback?.cost ?: Double.MAX_VALUE)) {
-                    fallback = Candidate(endpoint, prediction, cost)
-                }
-            } else if (cost < (best?.cost ?: Double.MAX_VALUE)) {
-                best = Candidate(endpoint, prediction, cost)
-            }
-        }
-        (best ?: fallback)?.let {
-            return Placement.Send(it.endpoint, it.prediction.millis, it.prediction.modelMillis)
+            selection.offer(endpoint, prediction, cost)
         }
+        val selected = selection.result()
         return when {
+            selected != null -> selected
             earliestMillis < Double.MAX_VALUE -> Placement.Busy(earliestMillis, firstOpensInMillis)
             firstOpensInMillis in 1 until Long.MAX_VALUE ->
                 Placement.Busy(firstOpensInMillis.toDouble(), firstOpensInMillis)
@@ -114,11 +106,29 @@
         }
     }
 
-    private class Candidate(
-        val endpoint: FleetEndpoint,
-        val prediction: Prediction,
-        val cost: Double
-    )
+    /** Endpoint of the lowest cost, if possible one whose prediction is within the budget. */
+    private class Selection(private val budgetMillis: Double) {
+        private var endpoint: FleetEndpoint? = null
+        private var prediction: Prediction? = null
+        private var cost = Double.MAX_VALUE
+        private var isWithinBudget = false
+
+        fun offer(offered: FleetEndpoint, offeredPrediction: Prediction, offeredCost: Double) {
+            val isWithin = offeredPrediction.millis <= budgetMillis
+            val isBetter = if (isWithin == isWithinBudget) offeredCost < cost else isWithin
+            if (!isBetter) return
+            endpoint = offered
+            prediction = offeredPrediction
+            cost = offeredCost
+            isWithinBudget = isWithin
+        }
+
+        fun result(): Placement.Send? {
+            val selected = endpoint ?: return null
+            val predicted = prediction ?: return null
+            return Placement.Send(selected, predicted.millis, predicted.modelMillis)
+        }
+    }
 
     /** Times to the first byte: with the learned speed, without it, and by the model alone. */
     private class Prediction(
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/LearnedEndpointsTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/LearnedEndpointsTest.kt
@@ -55,7 +55,6 @@
                         (1..4).map { LearningSimulation(service, it, isLearning).run() }
                             .map { it.onTimeShare }.average()
                     }
-                    println("%s: off %.3f, on %.3f".format(name, shares[0], shares[1]))
                     shares[1] shouldBeGreaterThan shares[0] + gain
                 }
             }
