Ignore unusable model times and outliers that are far apart

Change: such model times are not compared; an observation counts as repeated only within a half-life. Tests for both, for the requests that slow endpoints get, and for their recovery.

LearnedTimesTest, LearnedEndpointsTest and PlacementTest pass.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
@@ -177,11 +177,13 @@
 
     private inner class Attempt(
         private val isStream: Boolean,
-        private val expectedMillis: Double,
+        expectedMillis: Double,
         private val concurrent: Int,
         private val slots: Int,
         private val sentMillis: Long
     ) : AttemptTiming {
+        // A timing of zero or without bound in the configuration gives no usable expectation.
+        private val modelMillis = expectedMillis.takeIf { it.isFinite() && it > 0 }
         private val ownRun = run
         private var isOpen = true
         private var eventMillis = 0L
@@ -192,9 +194,7 @@
             if (!isValid || !isStream) return
             if (eventMillis == 0L) {
                 streams++
-                val ratio = (nowMillis - sentMillis) / expectedMillis
-                service.onFirstEvent(ratio)
-                service.firstEventRatio?.let { onResponse(ratio / it, true, nowMillis) }
+                modelMillis?.let { onFirstEvent(maxOf(1, nowMillis - sentMillis) / it, nowMillis) }
             } else {
                 onGap(nowMillis - eventMillis, nowMillis)
             }
@@ -203,6 +203,12 @@
             onChanged()
         }
 
+        private fun onFirstEvent(ratio: Double, nowMillis: Long) {
+            val usualRatio = service.firstEventRatio
+            service.onFirstEvent(ratio)
+            usualRatio?.let { onResponse(ratio / it, true, nowMillis) }
+        }
+
         override fun onComplete(isSuccess: Boolean, nowMillis: Long) {
             if (isValid && !isStream) {
                 val millis = maxOf(1, nowMillis - sentMillis).toDouble()
@@ -215,7 +221,7 @@
 
         override fun onMoved(hasSentSince: Boolean, nowMillis: Long) {
             if (isValid && !isStream) {
-                val millis = (nowMillis - sentMillis).toDouble()
+                val millis = maxOf(1, nowMillis - sentMillis).toDouble()
                 // An endpoint that has sent nothing may be down; that is no duration of a call.
                 if (hasSentSince) service.onCall(millis)
                 service.comparableCallMillis?.let { onResponse(millis / it, false, nowMillis) }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedValues.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedValues.kt
@@ -68,7 +68,8 @@
 /**
  * Ratio of measured to expected time, which rises on high observations, falls more slowly on usual
  * ones and returns to 1 with age. A single high observation does not reach the level at which an
- * endpoint counts as slow ([SLOW_RATIO]); the second one in a row does. Not thread-safe.
+ * endpoint counts as slow ([SLOW_RATIO]); the second one in a row, within a half-life, does. Not
+ * thread-safe.
  */
 class DecayingRatio(private val halfLifeMillis: Double) {
     private var level = 0.0
@@ -85,9 +86,10 @@
         val observed = ln(ratio.coerceIn(RATIO_MIN, RATIO_MAX))
         if (!isSound && observed <= current) return
         val isHigh = observed > ln(SLOW_RATIO)
+        val isRepeated = isHigh && wasHigh && nowMillis - updatedMillis < halfLifeMillis
         val weight = when {
             observed <= current -> FALL_WEIGHT
-            isHigh && wasHigh -> REPEATED_RISE_WEIGHT
+            isRepeated -> REPEATED_RISE_WEIGHT
             else -> RISE_WEIGHT
         }
         level = current + (observed - current) * weight
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/LearnedEndpointsTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/LearnedEndpointsTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.inspectors.forAll
 import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.doubles.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeInRange
 import kotlin.random.Random
 
@@ -47,6 +48,27 @@
             "an overload of half the capacity with slow spells" to
                 Pair(engines(220, -1, ::spells), -0.02)
         )
+        describe("endpoints that look slow") {
+            val slow = engines(90) { e, t, _ -> if (e < 4 && t < 10_000) 3.0 else 1.0 }
+
+            fun sentShare(fromMillis: Long, runMillis: Long): Double {
+                val sent = LearningSimulation(
+                    slow.until(runMillis),
+                    1,
+                    true,
+                    fromMillis
+                ).run().sentTo
+                return sent.take(4).average() / sent.drop(4).average()
+            }
+            it("get few requests, but some, so that their recovery is found out") {
+                val share = sentShare(3000, 10_000)
+                share shouldBeGreaterThan 0.02
+                share shouldBeLessThan 0.35
+            }
+            it("get as many as the others within ten seconds of their recovery") {
+                sentShare(20_000, 30_000) shouldBeGreaterThan 0.85
+            }
+        }
         describe("learning") {
             cases.forEach { (name, case) ->
                 val (service, gain) = case
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/LearnedTimesTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/LearnedTimesTest.kt
@@ -78,6 +78,19 @@
                 repeat(10) { times.call(40, 1100) }
                 times.slowdown(1100) shouldBe 1.0
             }
+            it("is not slow after two outliers that are far apart") {
+                val times = EndpointTimes(usual())
+                times.call(120, 1000)
+                times.call(120, 7000)
+                times.slowdown(7000) shouldBe 1.0
+            }
+            it("stays usable when the model gives no usable time") {
+                val times = EndpointTimes(ServiceTimes())
+                listOf(0.0, Double.NaN, Double.POSITIVE_INFINITY, 100.0).forEach { expected ->
+                    repeat(20) { times.begin(true, expected, 1, SLOTS, 10).onEvents(10) }
+                }
+                times.slowdown(10) shouldBe 1.0
+            }
             it("does not become faster by failures") {
                 val times = EndpointTimes(usual())
                 repeat(5) { times.call(120, 1000) }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/LearningSimulation.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/LearningSimulation.kt
@@ -20,7 +20,20 @@
     /** Endpoints that report no load, whatever they run. */
     val isLying: (Int) -> Boolean = { false },
     val runMillis: Long = 20_000
-)
+) {
+    /** The same service, simulated for [millis]. */
+    fun until(millis: Long) = SimulatedService(
+        isEngine,
+        endpoints,
+        arrivalsPerSecond,
+        targetMillis,
+        entries,
+        slots,
+        slowness,
+        isLying,
+        millis
+    )
+}
 
 /**
  * Simulates entries that place requests on endpoints of different speed. Engines work in passes, in
