Keep slowness under load apart from general slowness

Cause: late responses beyond the learned concurrency counted as general slowness for seconds, and a request beyond it was hardly more expensive, so the concurrency had no measurable effect. With one entry and endpoints that slow down before they are full, learning lost requests.

Change: a response of a request beyond the learned concurrency does not raise the ratio of the endpoint, and placement assumes at least 2.5 times the time beyond it.

Learned*Test, PlacementTest, OverloadSimulationTest, FleetTest and RetryPolicyTest pass.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/LearnedTimes.kt
@@ -236,7 +236,11 @@
         }
 
         private fun onResponse(ratio: Double, isSound: Boolean, nowMillis: Long) {
-            responses.observe(ratio, nowMillis, isSound)
+            // Beyond the learned concurrency a late response is due to the load. Counted as general
+            // slowness, it would keep requests away for seconds after the load has fallen.
+            if (concurrent <= concurrency.limit(slots, nowMillis)) {
+                responses.observe(ratio, nowMillis, isSound)
+            }
             if (isSound) concurrency.observe(ratio, concurrent, slots, nowMillis)
         }
     }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -203,12 +203,13 @@
         val engine = query.service.engine
         val learned = endpoint.times.slowdown(nowMillis)
         val limit = endpoint.times.concurrencyLimit(slots, nowMillis)
-        val beyondLimit = if (limit < slots) maxOf(0.0, occupancy + 1 - limit) / limit else 0.0
+        val beyond = if (limit < slots) occupancy + 1 - limit else 0.0
+        val loadFactor = if (beyond > 0) 1 + maxOf(BEYOND_LIMIT_SHARE, beyond / limit) else 1.0
         if (engine == null) {
             val calls = 1 + maxOf(0, occupancy - slots + 1) / slots.toDouble()
             val usual = endpoint.usualTimes.callMillis * calls
             return Prediction(
-                usual * learned * (1 + beyondLimit),
+                usual * learned * loadFactor,
                 DEFAULT_CALL_MILLIS * calls,
                 usual
             )
@@ -223,7 +224,7 @@
         // A report of normal speed does not outweigh slow responses.
         val slowdown = if (reported > 1.0) maxOf(reported, learned) else learned
         return Prediction(
-            slowdown * model * (1 + beyondLimit),
+            slowdown * model * loadFactor,
             maxOf(1.0, reported) * model,
             model
         )
@@ -251,6 +252,10 @@
 
         // An endpoint that fails every call is selected only when the others are this much slower.
         const val FAILURE_PENALTY_MILLIS = 400.0
+
+        // A request beyond the learned concurrency is assumed to take 2.5 times as long. With 1.5
+        // times, plain endpoints were filled beyond it as often as without the limit.
+        const val BEYOND_LIMIT_SHARE = 1.5
         const val JITTER_MILLIS = 8.0
 
         // Other entries fill most of their allotted slots before the next report. With a lower
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/LearnedEndpointsTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/LearnedEndpointsTest.kt
@@ -21,8 +21,11 @@
     slowness: (Int, Long, Int) -> Double = { _, _, _ -> 1.0 }
 ) = SimulatedService(true, ENGINES, rate, 400, slowness = slowness, isLying = { it == lying })
 
-private fun plain(rate: Int, slowness: (Int, Long, Int) -> Double = { _, _, _ -> 1.0 }) =
-    SimulatedService(false, 8, rate, 100, slowness = slowness)
+private fun plain(
+    rate: Int,
+    entries: Int = 4,
+    slowness: (Int, Long, Int) -> Double = { _, _, _ -> 1.0 }
+) = SimulatedService(false, 8, rate, 100, entries, slowness = slowness)
 
 class LearnedEndpointsTest :
     DescribeSpec({
@@ -41,6 +44,8 @@
                 Pair(plain(400) { e, _, _ -> if (e < 3) 3.0 else 1.0 }, 0.1),
             "four plain endpoints that slow down at three requests" to
                 Pair(plain(400) { e, _, n -> if (e < 4 && n > 2) n / 1.2 else 1.0 }, 0.08),
+            "the same with a single entry" to
+                Pair(plain(400, 1) { e, _, n -> if (e < 4 && n > 2) n / 1.2 else 1.0 }, 0.15),
             "two other plain endpoints slow every three seconds" to
                 Pair(plain(300) { e, t, _ -> if ((t / 3000 + e) % 4 == 0L) 3.0 else 1.0 }, 0.08),
             "a plain service that becomes slower as a whole" to
