--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -77,6 +77,10 @@
         519,
         "connection of a caller refused or closed because memory or connections are short"
     ),
+    ENDPOINT_SPEED_CHANGED(
+        520,
+        "endpoint became slower than usual or takes its usual time again"
+    ),
     DUTY_LEASE_ACQUIRED(600, "lease for duties acquired"),
     DUTY_LEASE_LOST(601, "lease for duties lost"),
     DUTY_LEASE_UNREADABLE(602, "lease for duties cannot be parsed"),
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -30,8 +30,15 @@
 
 /** Placement decision for one request. */
 sealed interface Placement {
-    /** Send to [endpoint], with the first byte predicted after [firstByteMillis]. */
-    data class Send(val endpoint: FleetEndpoint, val firstByteMillis: Double) : Placement
+    /**
+     * Send to [endpoint], with the first byte predicted after [firstByteMillis], and after
+     * [modelMillis] by the model alone, without the speed of this endpoint.
+     */
+    data class Send(
+        val endpoint: FleetEndpoint,
+        val firstByteMillis: Double,
+        val modelMillis: Double = firstByteMillis
+    ) : Placement
 
     /**
      * All endpoints are busy; the earliest first byte is predicted after [firstByteMillis]. If all
@@ -52,16 +59,18 @@
     private val coldAllowance: Int,
     private val random: Random
 ) {
-    /** Selects an endpoint whose predicted time to the first byte is within [budgetMillis]. */
+    /**
+     * Selects an endpoint whose predicted time to the first byte is within [budgetMillis]. If the
+     * learned speeds leave none, they only order the endpoints that are within it by the model: a
+     * late response is better than none, and the learned values may be out of date.
+     */
     fun place(
         query: PlacementQuery,
         budgetMillis: Double,
         nowMillis: Long,
         entryCount: Int
     ): Placement {
-        var best: FleetEndpoint? = null
-        var bestCost = Double.MAX_VALUE
-        var bestFirstByteMillis = Double.MAX_VALUE
+        val selection = Selection(budgetMillis)
         var earliestMillis = Double.MAX_VALUE
         var firstOpensInMillis = Long.MAX_VALUE
         for (endpoint in fleet.of(query.service.id)) {
@@ -72,26 +81,24 @@
                 firstOpensInMillis = minOf(firstOpensInMillis, backoffMillis)
                 continue
             }
-            val predicted = firstByteMillis(endpoint, query, nowMillis, entryCount)
-            earliestMillis = minOf(earliestMillis, predicted + opensInMillis)
+            val prediction = predict(endpoint, query, nowMillis, entryCount)
+            val leastMillis = minOf(prediction.millis, prediction.unlearnedMillis)
+            earliestMillis = minOf(earliestMillis, leastMillis + opensInMillis)
             firstOpensInMillis = minOf(firstOpensInMillis, opensInMillis)
             if (opensInMillis > 0 ||
-                predicted > budgetMillis ||
+                leastMillis > budgetMillis ||
                 !hasCapacity(endpoint, query, nowMillis, entryCount)
             ) {
                 continue
             }
-            val cost = predicted + localityPenaltyMillis(endpoint) +
+            val cost = prediction.millis + localityPenaltyMillis(endpoint) +
                 failureShare(endpoint, nowMillis) * FAILURE_PENALTY_MILLIS +
                 random.nextDouble() * JITTER_MILLIS
-            if (cost < bestCost) {
-                best = endpoint
-                bestCost = cost
-                bestFirstByteMillis = predicted
-            }
+            selection.offer(endpoint, prediction, cost)
         }
-        if (best != null) return Placement.Send(best, bestFirstByteMillis)
+        val selected = selection.result()
         return when {
+            selected != null -> selected
             earliestMillis < Double.MAX_VALUE -> Placement.Busy(earliestMillis, firstOpensInMillis)
             firstOpensInMillis in 1 until Long.MAX_VALUE ->
                 Placement.Busy(firstOpensInMillis.toDouble(), firstOpensInMillis)
@@ -99,6 +106,37 @@
         }
     }
 
+    /** Endpoint of the lowest cost, if possible one whose prediction is within the budget. */
+    private class Selection(private val budgetMillis: Double) {
+        private var endpoint: FleetEndpoint? = null
+        private var prediction: Prediction? = null
+        private var cost = Double.MAX_VALUE
+        private var isWithinBudget = false
+
+        fun offer(offered: FleetEndpoint, offeredPrediction: Prediction, offeredCost: Double) {
+            val isWithin = offeredPrediction.millis <= budgetMillis
+            val isBetter = if (isWithin == isWithinBudget) offeredCost < cost else isWithin
+            if (!isBetter) return
+            endpoint = offered
+            prediction = offeredPrediction
+            cost = offeredCost
+            isWithinBudget = isWithin
+        }
+
+        fun result(): Placement.Send? {
+            val selected = endpoint ?: return null
+            val predicted = prediction ?: return null
+            return Placement.Send(selected, predicted.millis, predicted.modelMillis)
+        }
+    }
+
+    /** Times to the first byte: with the learned speed, without it, and by the model alone. */
+    private class Prediction(
+        val millis: Double,
+        val unlearnedMillis: Double,
+        val modelMillis: Double
+    )
+
     private fun isEligible(
         endpoint: FleetEndpoint,
         query: PlacementQuery,
@@ -154,24 +192,42 @@
         return endpoint.isWithinColdRate(coldRateLimit, entryCount, nowMillis)
     }
 
-    private fun firstByteMillis(
+    private fun predict(
         endpoint: FleetEndpoint,
         query: PlacementQuery,
         nowMillis: Long,
         entryCount: Int
-    ): Double {
+    ): Prediction {
         val occupancy = endpoint.occupancy(nowMillis, entryCount)
         val slots = maxOf(1, endpoint.record.slots)
-        val ahead = maxOf(0, occupancy - slots + 1)
         val engine = query.service.engine
-            ?: return DEFAULT_CALL_MILLIS + ahead * DEFAULT_CALL_MILLIS / slots
-        val slowdown =
+        val learned = endpoint.times.slowdown(nowMillis)
+        val limit = endpoint.times.concurrencyLimit(slots, nowMillis)
+        val beyond = if (limit < slots) occupancy + 1 - limit else 0.0
+        val loadFactor = if (beyond > 0) 1 + maxOf(BEYOND_LIMIT_SHARE, beyond / limit) else 1.0
+        if (engine == null) {
+            val calls = 1 + maxOf(0, occupancy - slots + 1) / slots.toDouble()
+            val usual = endpoint.usualTimes.callMillis * calls
+            return Prediction(
+                usual * learned * loadFactor,
+                DEFAULT_CALL_MILLIS * calls,
+                usual
+            )
+        }
+        val reported =
             (endpoint.freshReport(nowMillis)?.pacePercent ?: PERCENT) / PERCENT.toDouble()
         // Other entries may fill the free slots in the report that are not allotted to this entry.
         val unreportedArrivals =
             if (endpoint.ownFreeSlots(nowMillis) > 0) 0.0 else UNREPORTED_ARRIVALS
-        return maxOf(1.0, slowdown) *
+        val model =
             predictedFirstEventMillis(engine, occupancy, query.promptTokens, unreportedArrivals)
+        // A report of normal speed does not outweigh slow responses.
+        val slowdown = if (reported > 1.0) maxOf(reported, learned) else learned
+        return Prediction(
+            slowdown * model * loadFactor,
+            maxOf(1.0, reported) * model,
+            model
+        )
     }
 
     private fun failureShare(endpoint: FleetEndpoint, nowMillis: Long): Double =
@@ -186,7 +242,7 @@
     private companion object {
         const val PERCENT = 100
 
-        // Typical duration of a call to a service without a model engine.
+        // Typical duration of a call to a service without a model engine, unless it is learned.
         const val DEFAULT_CALL_MILLIS = 20.0
 
         // Traffic between regions is billed. An endpoint in the same region is preferred as long as
@@ -196,6 +252,10 @@
 
         // An endpoint that fails every call is selected only when the others are this much slower.
         const val FAILURE_PENALTY_MILLIS = 400.0
+
+        // A request beyond the learned concurrency is assumed to take 2.5 times as long. With 1.5
+        // times, plain endpoints were filled beyond it as often as without the limit.
+        const val BEYOND_LIMIT_SHARE = 1.5
         const val JITTER_MILLIS = 8.0
 
         // Other entries fill most of their allotted slots before the next report. With a lower
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -33,6 +33,8 @@
 import org.toucanspur.schema.NodeSection
 import org.toucanspur.schema.OrganisationId
 import org.toucanspur.schema.RegionId
+import org.toucanspur.schema.RoutingLearning
+import org.toucanspur.schema.RoutingSection
 import org.toucanspur.schema.ServiceId
 import org.toucanspur.schema.StoreSection
 import org.toucanspur.schema.VmId
@@ -83,7 +85,8 @@
             coldAllowance = 5,
             eventRelayMillis = 120
         ),
-        duties
+        duties,
+        RoutingSection(RoutingLearning.ON)
     )
 
 private fun route(
