Schedule waiting calls by priority and fair shares, and admit by priority under overload

Cause: waiting calls were served first in, first out over all organisations, each pass asked for a placement of every call, and calls that could not be served were held until their time expired. Change: WaitingCalls replaces CallQueue (rank, fair shares by cost, groups of equal constraints, review after an eighth of the target). OverloadAdmission admits per priority by the demand at all entries and the observed capacity. Refusals carry their cause.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/RetryBudgetShare.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/RetryBudgetShare.kt
@@ -17,18 +17,22 @@
     /** Records a request of a caller. */
     fun onRequest(nowMillis: Long) = requests.add(nowMillis)
 
-    /** Acquires one retry, with [entryCount] entries sharing the allowance. */
-    fun tryAcquire(nowMillis: Long, entryCount: Int): Boolean {
-        if (!hasRoom(nowMillis, entryCount)) return false
+    /**
+     * Acquires one retry, with [entryCount] entries sharing the allowance. Less urgent requests may
+     * use only the [usablePart] of the budget under contention, so that the rest is left for urgent
+     * ones.
+     */
+    fun tryAcquire(nowMillis: Long, entryCount: Int, usablePart: Double = 1.0): Boolean {
+        if (!hasRoom(nowMillis, entryCount, usablePart)) return false
         retries.add(nowMillis)
         return true
     }
 
-    /** Whether a retry would be allowed now. */
-    fun hasRoom(nowMillis: Long, entryCount: Int): Boolean {
+    /** Whether a retry would be allowed now; see [tryAcquire]. */
+    fun hasRoom(nowMillis: Long, entryCount: Int, usablePart: Double = 1.0): Boolean {
         val limit = requests.count(nowMillis) * limits.ratio * RATIO_USABLE_SHARE +
             limits.allowance * ALLOWANCE_USABLE_SHARE / maxOf(1, entryCount)
-        return retries.count(nowMillis) + 1 <= limit
+        return retries.count(nowMillis) + 1 <= limit * usablePart
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/TrafficConfiguration.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/TrafficConfiguration.kt
@@ -110,6 +110,8 @@
     val limits: CallerLimits,
     organisations: List<Organisation>
 ) {
+    private val ofOrganisations: Set<Int> = organisations.mapNotNull { it.priority }.toSet()
+
     private val byKey: Map<String, Organisation> =
         organisations.flatMap { org -> org.keys.map { it to org } }.toMap()
 
@@ -135,5 +137,12 @@
         return null
     }
 
+    /** Priorities of the requests to [service]. */
+    fun prioritiesOf(service: ServiceId): Set<Int> {
+        val ofRoutes = routes.filter { route -> route.targets.any { it.service == service } }
+            .map { it.priority }
+        return if (ofRoutes.isEmpty()) emptySet() else (ofRoutes + ofOrganisations).toSet()
+    }
+
     private fun hostName(host: String): String = host.substringBefore(':').lowercase()
 }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CallQueue.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/WaitPolicy.kt
@@ -1,66 +1,14 @@
 /*
- * Queue of requests at an entry that wait for a free slot at an endpoint, for arrival rates above
+ * Waiting times, budgets and retry delays of requests that wait at an entry, for arrival rates above
  * the capacity and for short interruptions such as a weight load. A request waits only as long as
  * it can still meet its latency target; otherwise it is refused with the time at which a slot is
  * expected. Requests that are already late, because they were refused before and retried by the
- * caller, wait longer and are served after those that can still be on time.
+ * caller, are served after those that can still be on time.
  */
 package org.toucanspur.core.gateway
 
 import kotlin.random.Random
 
-/** A queued request, which is refused at [untilMillis]. */
-interface QueuedCall {
-    val untilMillis: Long
-
-    /** Whether the request can still meet its latency target. */
-    val isOnTime: Boolean
-}
-
-/** Bounded two-level queue. Not thread-safe. */
-class CallQueue<T : QueuedCall>(private val sizeMax: Int) {
-    private val onTime = ArrayDeque<T>()
-    private val late = ArrayDeque<T>()
-
-    /** Number of queued requests. */
-    val size: Int get() = onTime.size + late.size
-
-    /** Adds a request; returns false when the queue is full. */
-    fun add(call: T): Boolean {
-        if (size >= sizeMax) return false
-        (if (call.isOnTime) onTime else late).addLast(call)
-        return true
-    }
-
-    /** Removes a request that ended while it was queued; returns false when it is not queued. */
-    fun remove(call: T): Boolean = onTime.remove(call) || late.remove(call)
-
-    /** Removes and returns the requests whose waiting time has expired at [nowMillis]. */
-    fun removeExpired(nowMillis: Long): List<T> {
-        val expired = (onTime + late).filter { it.untilMillis <= nowMillis }
-        expired.forEach(::remove)
-        return expired
-    }
-
-    /**
-     * Passes each request in order to [place], which returns true when the request was placed. A
-     * request that cannot be placed does not block the following ones, which may use other
-     * endpoints.
-     */
-    fun drain(place: (T) -> Boolean) {
-        drain(onTime, place)
-        drain(late, place)
-    }
-
-    private fun drain(queue: ArrayDeque<T>, place: (T) -> Boolean) {
-        val iterator = queue.toList().iterator()
-        while (iterator.hasNext()) {
-            val call = iterator.next()
-            if (place(call)) queue.remove(call)
-        }
-    }
-}
-
 /** Waiting times, first-byte budgets, urgencies and retry delays of queued requests. */
 object WaitPolicy {
     /** Share of the latency target that a request may spend in the queue of the entry. */
@@ -72,6 +20,17 @@
     private const val RETRY_MIN_MILLIS = 150.0
     private const val RETRY_MAX_MILLIS = 1800.0
     private const val RETRY_JITTER = 0.6
+    private const val REVIEW_PARTS = 8
+    private const val HONOURED_PARTS = 3
+
+    // Together with the jitter, the longest delay is just what callers honour.
+    private const val UNSPREAD_PART = 0.62
+    private const val GOOD_SHARE = 0.6
+    private const val SOON_MILLIS = 400.0
+    private const val LATER_MILLIS = 1200.0
+
+    // Bursts last seconds; the kinds that get a part only return after those that get all.
+    private const val PRIORITY_STEP_MILLIS = 200.0
 
     /** Maximum queueing time of a request, from its latency target or, if late, remaining time. */
     fun waitMillis(targetMillis: Long, remainingMillis: Long, isOnTime: Boolean): Long =
@@ -91,6 +50,10 @@
     fun urgency(isOnTime: Boolean, priority: Int): Int =
         if (isOnTime) priority.coerceIn(0, ON_TIME_URGENCY_MAX) else LATE_URGENCY
 
+    /** Order in which waiting requests are served; late ones follow all that can be on time. */
+    fun rank(isOnTime: Boolean, priority: Int): Int =
+        priority.coerceIn(0, ON_TIME_URGENCY_MAX) + if (isOnTime) 0 else LATE_RANK_MIN
+
     /**
      * Delay after which a refused caller should retry, given the predicted wait for a slot. If all
      * endpoints take requests only in [opensInMillis], it is not shorter than that.
@@ -101,6 +64,34 @@
         return (maxOf(base, opensInMillis.toDouble()) + spread).toLong()
     }
 
+    /**
+     * Time after which a waiting request is refused unless it is expected to be served in time.
+     * Callers do not notice a wait of an eighth of their target.
+     */
+    fun reviewMillis(targetMillis: Long): Long = targetMillis / REVIEW_PARTS
+
+    /**
+     * Delay for a caller whose request was refused because others go first. With [share], the part
+     * of its kind that is served, callers come back within a second if their next request has a
+     * good chance, and otherwise as late as they can; more urgent ones come first. Callers wait at
+     * most a third of [remainingMillis], so the delays are spread below that.
+     */
+    fun sharedRetryAfterMillis(
+        share: Double,
+        priority: Int,
+        remainingMillis: Long,
+        random: Random
+    ): Long {
+        val honoured = maxOf(RETRY_MIN_MILLIS, remainingMillis / HONOURED_PARTS.toDouble())
+        val delay = if (share >= GOOD_SHARE) {
+            SOON_MILLIS
+        } else {
+            LATER_MILLIS + minOf(priority, ON_TIME_URGENCY_MAX) * PRIORITY_STEP_MILLIS
+        }
+        val base = minOf(delay, honoured * UNSPREAD_PART)
+        return (base * (1 + random.nextDouble() * RETRY_JITTER)).toLong()
+    }
+
     // The 95th percentile of the prediction error is about a quarter.
     private const val ON_TIME_SHARE = 0.8
 
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/OverloadSimulationTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/OverloadSimulationTest.kt
@@ -47,9 +47,16 @@
 
 private class SimulatedCall(
     override val untilMillis: Long,
-    val arrivedMillis: Long,
-    override val isOnTime: Boolean = true
-) : QueuedCall
+    val arrivedMillis: Long
+) : WaitingCall {
+    override val serviceId = writers
+    override val rank = 1
+    override val organisationId = null
+    override val costMillis = 100.0
+    override val reviewMillis = untilMillis
+    override val heldBytes = 1L
+    override val placementKind: Any = Unit
+}
 
 /**
  * Simulates four entries that send more requests to six engines than these can process. The first
@@ -62,7 +69,7 @@
     private val placers = fleets.mapIndexed { index, fleet ->
         RequestPlacer(fleet, ZoneId("a"), RegionId("r"), 0, Random(seed + index))
     }
-    private val waiting = List(ENTRIES) { CallQueue<SimulatedCall>(256) }
+    private val waiting = List(ENTRIES) { WaitingCalls<SimulatedCall>(256) }
     private val events = PriorityQueue<Pair<Long, (Long) -> Unit>>(compareBy { it.first })
     private var busyMillis = 0.0
     var onTime = 0
@@ -149,8 +156,11 @@
     }
 
     private fun drain(entry: Int, now: Long) {
-        refused += waiting[entry].removeExpired(now).size
-        waiting[entry].drain { place(entry, it, now) }
+        val capacity = WaitCapacity(Double.MAX_VALUE, Double.MAX_VALUE)
+        refused += waiting[entry].removeUnservable(now) { capacity }.size
+        waiting[entry].drain {
+            if (place(entry, it, now)) PlacementResult.PLACED else PlacementResult.BUSY
+        }
     }
 }
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -9,8 +9,8 @@
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.AttemptHistory
 import org.toucanspur.core.gateway.AttemptOutcome
-import org.toucanspur.core.gateway.CallQueue
 import org.toucanspur.core.gateway.CallerRequestMetadata
+import org.toucanspur.core.gateway.DemandSource
 import org.toucanspur.core.gateway.EndpointRequestMetadata
 import org.toucanspur.core.gateway.EndpointSignal
 import org.toucanspur.core.gateway.EndpointStatement
@@ -35,7 +35,8 @@
     override val codec: RequestCodec,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
-    queueMax: Int = QUEUE_MAX,
+    demands: DemandSource? = null,
+    waitingMaxBytes: Long = Runtime.getRuntime().maxMemory() / WAITING_MEMORY_SHARE,
     responseMemoryBytes: Long = Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_SHARE
 ) : CallDelegate {
     private val admission = CallAdmission(state)
@@ -44,7 +45,7 @@
     private val statements = EndpointStatements(log)
     private val callLog = CallLog(log, state)
     override val crashes = CrashObserver(state, log, metrics)
-    private val queue = CallQueue<Call>(queueMax)
+    private val queue = CallScheduler(state, placements, waitingMaxBytes, demands)
     private val responseMemory = ResponseMemory<Call>(responseMemoryBytes)
     private val activeCalls = LinkedHashSet<Call>()
     private val maxRemainingMillis = HashMap<String, Long>()
@@ -119,7 +120,7 @@
         state.retryAllowance(call.service.id).onRequest(monotonicMillis())
         grace?.let { call.limitDeadline(it.endMillis) }
         scheduleDeadline(call)
-        guarded(call) { sendOrQueue(call) }
+        guarded(call) { if (isAdmitted(call)) sendOrQueue(call) }
         return call
     }
 
@@ -144,6 +145,14 @@
         return longest - remaining < call.route.targetMillis / 2
     }
 
+    private fun isAdmitted(call: Call): Boolean {
+        val now = monotonicMillis()
+        if (queue.overload.admits(call, now)) return true
+        val retryAfterMillis = queue.overload.retryAfterMillis(call, now)
+        refuse(call, Refusal(UNAVAILABLE, BUSY, retryAfterMillis, RefusalCause.SHARE))
+        return false
+    }
+
     private fun sendOrQueue(call: Call) {
         val now = monotonicMillis()
         crashes.refusal(call, now)?.let {
@@ -151,17 +160,13 @@
             return
         }
         val placement = placements.place(call, now)
-        if (placement is Placement.Send) {
+        val isBehindOthers = queue.isBehindOthers(call)
+        if (placement is Placement.Send && !isBehindOthers) {
+            queue.onPlacedAtOnce(call)
             send(call, placement)
             return
         }
-        val remaining = call.deadlineMillis - now
-        val waitMillis = if (call.isCommitted) {
-            RESUME_WAIT_MILLIS
-        } else {
-            WaitPolicy.waitMillis(call.route.targetMillis, remaining, call.isOnTime)
-        }
-        call.untilMillis = now + minOf(waitMillis, remaining)
+        queue.limitWait(call, now)
         val isUnservable =
             !call.isCommitted &&
                 placement is Placement.Nowhere &&
@@ -170,15 +175,17 @@
             isUnservable || statements.mustRefuse(call, placement, queue.size, now) ->
                 failUnplaced(call, placement)
             queue.add(call) -> metrics.queued.increment()
-            else -> failUnplaced(call, placement)
+            else -> failUnplaced(call, placement, RefusalCause.MEMORY)
         }
+        if (placement is Placement.Send) drainQueue()
     }
 
-    private fun failUnplaced(call: Call, placement: Placement) = if (call.mayHaveExecuted) {
-        fail(call, "no endpoint for another send")
-    } else {
-        refuseUnplaced(call, placement)
-    }
+    private fun failUnplaced(call: Call, placement: Placement, cause: RefusalCause? = null) =
+        if (call.mayHaveExecuted) {
+            fail(call, "no endpoint for another send")
+        } else {
+            refuseUnplaced(call, placement, cause)
+        }
 
     private fun send(call: Call, placement: Placement.Send) {
         val now = monotonicMillis()
@@ -223,13 +230,21 @@
         return keyRefusal ?: crashes.refusal(call, nowMillis)
     }
 
-    private fun refuseUnplaced(call: Call, placement: Placement) {
-        val reason = if (placement is Placement.Busy) {
-            "all endpoints are busy"
+    private fun refuseUnplaced(call: Call, placement: Placement, cause: RefusalCause?) {
+        val isNowhere = placement is Placement.Nowhere
+        val opensInMillis = (placement as? Placement.Busy)?.opensInMillis ?: 0
+        // What endpoints ask for decides when they take requests again, else the load does.
+        val isShared = !isNowhere &&
+            opensInMillis == 0L &&
+            queue.overload.isOverloaded(call.service.id)
+        val retryAfterMillis = if (isShared) {
+            queue.overload.retryAfterMillis(call, monotonicMillis())
         } else {
-            "no endpoint can serve"
+            placements.retryAfterMillis(call, placement)
         }
-        refuse(call, Refusal(UNAVAILABLE, reason, placements.retryAfterMillis(call, placement)))
+        val reason = if (isNowhere) "no endpoint can serve" else BUSY
+        val known = cause ?: if (isNowhere) RefusalCause.NOWHERE else RefusalCause.BUSY
+        refuse(call, Refusal(UNAVAILABLE, reason, retryAfterMillis, known))
     }
 
     // A call whose response has begun at a silent endpoint is not ended for want of another one.
@@ -243,6 +258,8 @@
         if (call.isFinished) return
         callLog.onRefused(call, refusal, queue.size)
         metrics.onRefused(refusal.status)
+        metrics.onCallRefused(call.priority, refusal.cause)
+        if (refusal.status == UNAVAILABLE) queue.overload.onRefused(call, monotonicMillis())
         call.refuse(refusal.status, refusal.headers(codec, call.id), refusal.body())
         activeCalls -= call
     }
@@ -265,7 +282,8 @@
     override fun mayRetry(call: Call): Boolean {
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return false
         val now = monotonicMillis()
-        return state.retryAllowance(call.service.id).hasRoom(now, state.entryCount(now))
+        return state.retryAllowance(call.service.id)
+            .hasRoom(now, state.entryCount(now), queue.overload.retryPart(call))
     }
 
     override fun onAttemptFailed(call: Call, outcome: AttemptOutcome, reason: String) {
@@ -289,9 +307,10 @@
 
     private fun fail(call: Call, reason: String) {
         val refusal = if (call.mayHaveExecuted) {
-            Refusal(BAD_GATEWAY, reason)
+            Refusal(BAD_GATEWAY, reason, cause = RefusalCause.FAILED)
         } else {
-            Refusal(UNAVAILABLE, reason, placements.retryAfterMillis(call, Placement.Nowhere))
+            val retryAfterMillis = placements.retryAfterMillis(call, Placement.Nowhere)
+            Refusal(UNAVAILABLE, reason, retryAfterMillis, RefusalCause.FAILED)
         }
         refuse(call, refusal)
     }
@@ -392,8 +411,9 @@
     private fun tick() {
         val now = monotonicMillis()
         step("crashed endpoints") { crashes.confirm(now) }
+        step("overload") { queue.update(now) }
         drainQueue()
-        queue.removeExpired(now).forEach { guarded(it) { onWaitExpired(it, now) } }
+        queue.removeUnservable(now).forEach { guarded(it) { onWaitExpired(it, now) } }
         // The event loop may have been held up: what has arrived until now is read before the
         // timers run again.
         if (activeCalls.isNotEmpty()) loop.schedule("silence", 0) { judgeSilence(now) }
@@ -427,6 +447,7 @@
                 finalPlacement
             )
             call.isCommitted -> fail(call, "no endpoint to resume at")
+            nowMillis < call.untilMillis -> failUnplaced(call, finalPlacement, RefusalCause.WAIT)
             else -> failUnplaced(call, finalPlacement)
         }
     }
@@ -434,13 +455,13 @@
     private fun drainQueue() {
         val now = monotonicMillis()
         queue.drain { call ->
-            var isPlaced = false
+            var placement: Placement? = null
             guarded(call) {
-                val placement = placements.place(call, now)
-                isPlaced = placement is Placement.Send
-                if (placement is Placement.Send) send(call, placement)
+                val selected = placements.place(call, now)
+                placement = selected
+                if (selected is Placement.Send) send(call, selected)
             }
-            isPlaced
+            placement
         }
     }
 
@@ -486,7 +507,8 @@
     }
 
     private fun takeRetryPermit(call: Call, nowMillis: Long): Boolean =
-        state.retryAllowance(call.service.id).tryAcquire(nowMillis, state.entryCount(nowMillis))
+        state.retryAllowance(call.service.id)
+            .tryAcquire(nowMillis, state.entryCount(nowMillis), queue.overload.retryPart(call))
 
     private companion object {
         // Part of the heap for responses that cannot be relayed yet; 20 MiB in the deployment.
@@ -495,8 +517,8 @@
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
 
-        // Queued requests of one entry; more than the largest site receives in a second.
-        const val QUEUE_MAX = 256
+        // Part of the heap for calls that wait; 10 MiB in the deployment.
+        const val WAITING_MEMORY_SHARE = 16
         const val TICK_MILLIS = 20L
 
         // Latency between regions is a few milliseconds; a connection attempt that takes this long
@@ -504,9 +526,7 @@
         const val CONNECT_TIMEOUT_MILLIS = 300
 
         const val SHORT_RETRY_MILLIS = 200L
+        const val BUSY = "all endpoints are busy"
         const val INTERNAL_ERROR = "internal error"
-
-        // Callers close a stream after two seconds without an event.
-        const val RESUME_WAIT_MILLIS = 1500L
     }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallLog.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallLog.kt
@@ -58,6 +58,9 @@
             put("route", call.route.name)
             put("status", refusal.status)
             put("reason", refusal.reason)
+            put("cause", refusal.cause.name)
+            put("priority", call.priority)
+            call.organisation?.let { put("organisation", it.id.value) }
             put("sends", call.executedAttempts)
             put("missed", call.unexecutedAttempts)
             put("waitedMillis", monotonicMillis() - call.request.receivedMillis)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallPlacement.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallPlacement.kt
@@ -7,6 +7,7 @@
 import org.toucanspur.core.gateway.Placement
 import org.toucanspur.core.gateway.PlacementQuery
 import org.toucanspur.core.gateway.WaitPolicy
+import org.toucanspur.core.gateway.extraPrefillMillis
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.RegionId
@@ -24,7 +25,8 @@
         val budget = if (call.isCommitted) {
             RESUME_BUDGET_MILLIS
         } else {
-            WaitPolicy.firstByteBudgetMillis(call.route.targetMillis, elapsed, call.isOnTime)
+            WaitPolicy.firstByteBudgetMillis(call.route.targetMillis, elapsed, call.isOnTime) +
+                extraPromptMillis(call)
         }
         val query = PlacementQuery(
             service = call.service,
@@ -43,6 +45,16 @@
         return state.placer.place(query, budget, nowMillis, state.entryCount(nowMillis))
     }
 
+    // A long prompt takes its time at any endpoint; it must not keep the request from all of them.
+    private fun extraPromptMillis(call: Call): Double {
+        val engine = call.service.engine ?: return 0.0
+        return extraPrefillMillis(engine, call.metadata.promptTokens ?: 0)
+    }
+
+    /** What restricts the endpoints of [call], apart from what it has tried. */
+    fun constraintsOf(call: Call): Any =
+        Triple(call.service.id, allowedRegions(call), call.metadata.model)
+
     private fun allowedRegions(call: Call): Set<RegionId>? {
         val organisationRegions = call.organisation?.homeRegions.orEmpty()
         val routeRegions = call.route.homeRegions
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayMetrics.kt
@@ -35,6 +35,15 @@
     fun onRefused(status: Int) =
         registry.counter("toucanspur.requests.refused", "status", status.toString()).increment()
 
+    /** Records a call of [priority] that was refused after its admission. */
+    fun onCallRefused(priority: Int, cause: RefusalCause) = registry.counter(
+        "toucanspur.requests.unserved",
+        "priority",
+        priority.coerceIn(0, PRIORITY_MAX).toString(),
+        "cause",
+        cause.name.lowercase()
+    ).increment()
+
     /** Records a connection that a time-out closed; [isCut] if it ended a response. */
     fun onTimedOut(reason: String, isCut: Boolean) {
         registry.counter("toucanspur.callers.timed.out", "reason", reason).increment()
@@ -62,6 +71,8 @@
         .register(registry)
 
     private companion object {
+        // Bounds the number of meters.
+        const val PRIORITY_MAX = 9
         const val HISTOGRAM_MIN_MILLIS = 10L
         const val HISTOGRAM_MAX_MILLIS = 8000L
     }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -12,6 +12,7 @@
 import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.CrashSuspectLimits
 import org.toucanspur.core.gateway.CrashSuspects
+import org.toucanspur.core.gateway.DemandMeter
 import org.toucanspur.core.gateway.Fleet
 import org.toucanspur.core.gateway.Freshness
 import org.toucanspur.core.gateway.LimitExchange
@@ -90,6 +91,9 @@
             ObjectKind.EVACUATIONS in listedKinds &&
             ObjectKind.WEIGHT_VERSIONS in listedKinds
 
+    /** Demand of the callers of this entry. */
+    val demand = DemandMeter()
+
     /** All known endpoints. */
     val fleet = Fleet(settings.bounds.stabilityMillis.toLong(), random)
 
--- /dev/null
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/OverloadControl.kt
@@ -0,0 +1,124 @@
+/*
+ * Applies the admission under overload to the calls of one entry: measures the demand, follows the
+ * load of each service, and decides which calls are refused and when their callers come back.
+ */
+package org.toucanspur.daemon.gateway
+
+import kotlin.random.Random
+import org.toucanspur.core.gateway.DemandSource
+import org.toucanspur.core.gateway.OverloadAdmission
+import org.toucanspur.core.gateway.ServiceDemand
+import org.toucanspur.core.gateway.TrafficConfiguration
+import org.toucanspur.core.gateway.TrafficService
+import org.toucanspur.core.gateway.WaitCapacity
+import org.toucanspur.core.gateway.WaitPolicy
+import org.toucanspur.core.gateway.loadOf
+import org.toucanspur.schema.ServiceId
+
+/** Admission of calls under overload at one entry; confined to the event loop. */
+class OverloadControl(private val state: GatewayState, private val demands: DemandSource?) {
+    private val admissions = HashMap<ServiceId, OverloadAdmission>()
+    private val priorities = HashMap<ServiceId, Set<Int>>()
+    private var prioritiesOf: TrafficConfiguration? = null
+    private var updatedMillis = Long.MIN_VALUE
+    private val random: Random get() = state.random
+
+    /** Records the arrival of [call] and returns whether it is admitted. */
+    fun admits(call: Call, nowMillis: Long): Boolean {
+        val isRepeated = !call.isOnTime
+        state.demand.onRequest(
+            call.service.id,
+            call.priority,
+            call.costMillis,
+            isRepeated,
+            nowMillis
+        )
+        val admission = admissions[call.service.id] ?: return true
+        return admission.admits(call.priority, call.organisation?.id, isRepeated)
+    }
+
+    /** Records that [call] was refused before any endpoint ran it. */
+    fun onRefused(call: Call, nowMillis: Long) =
+        state.demand.onRefused(call.service.id, call.priority, call.costMillis, nowMillis)
+
+    /** Updates the admission to all services; [waitingCount] gives the calls that can be on time. */
+    fun update(nowMillis: Long, waitingCount: (ServiceId) -> Int) {
+        if (updatedMillis != Long.MIN_VALUE && nowMillis - updatedMillis < UPDATE_MILLIS) return
+        updatedMillis = nowMillis
+        val configuration = state.configuration ?: return
+        if (configuration !== prioritiesOf) onConfiguration(configuration)
+        val entryCount = state.entryCount(nowMillis)
+        for (service in configuration.services.values) {
+            val demand = totalDemand(service, entryCount, nowMillis)
+            if (demand.isEmpty() && service.id !in admissions) continue
+            admissions.getOrPut(service.id) { OverloadAdmission() }.update(
+                state.fleet.loadOf(service, nowMillis, entryCount),
+                demand,
+                waitingCount(service.id) * entryCount,
+                priorities[service.id].orEmpty().size > 1,
+                nowMillis
+            )
+        }
+    }
+
+    private fun totalDemand(
+        service: TrafficService,
+        entryCount: Int,
+        nowMillis: Long
+    ): List<ServiceDemand> = demands?.total(service.id, nowMillis)?.ifEmpty { null }
+        ?: state.demand.projected(service.id, entryCount, nowMillis)
+
+    private fun onConfiguration(configuration: TrafficConfiguration) {
+        prioritiesOf = configuration
+        priorities.clear()
+        admissions.keys.retainAll(configuration.services.keys)
+        configuration.services.keys.forEach {
+            priorities[it] = configuration.prioritiesOf(it)
+        }
+    }
+
+    /** Capacity that this entry can use for its waiting calls to [service]. */
+    fun waitCapacity(service: ServiceId, nowMillis: Long): WaitCapacity {
+        val admission = admissions[service]
+        val total = admission?.costPerSecond ?: 0.0
+        // While endpoints are not known to take requests, calls wait for them as long as is useful.
+        if (admission == null || total <= 0) return WaitCapacity(UNKNOWN, UNKNOWN)
+        val own = total / state.entryCount(nowMillis)
+        val spareShare = if (admission.isOverloaded) {
+            admission.spareShare
+        } else {
+            maxOf(SPARE_MIN, admission.spareShare)
+        }
+        return WaitCapacity(own, own * spareShare)
+    }
+
+    /** Time after which the caller of [call], which was refused in favour of others, returns. */
+    fun retryAfterMillis(call: Call, nowMillis: Long): Long = WaitPolicy.sharedRetryAfterMillis(
+        admissions[call.service.id]?.servedShare(call.priority) ?: 1.0,
+        call.priority,
+        call.deadlineMillis - nowMillis,
+        random
+    )
+
+    /** Whether more is asked of [service] than it can serve. */
+    fun isOverloaded(service: ServiceId): Boolean = admissions[service]?.isOverloaded ?: false
+
+    /** Part of the retry budget that [call] may use: under overload, urgent calls go first. */
+    fun retryPart(call: Call): Double {
+        val mostUrgent = priorities[call.service.id].orEmpty().minOrNull() ?: call.priority
+        return if (isOverloaded(call.service.id) && call.priority > mostUrgent) {
+            CONTENDED_RETRY_PART
+        } else {
+            1.0
+        }
+    }
+
+    private companion object {
+        const val UPDATE_MILLIS = 100L
+        const val UNKNOWN = Double.MAX_VALUE
+
+        // Late calls get at least this part of a service that is not overloaded.
+        const val SPARE_MIN = 0.2
+        const val CONTENDED_RETRY_PART = 0.5
+    }
+}
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Refusal.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Refusal.kt
@@ -10,8 +10,37 @@
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.schema.RequestId
 
+/** Why a call is refused, for logs and metrics. */
+enum class RefusalCause {
+    /** The part of its kind that can be served is used up. */
+    SHARE,
+
+    /** It would not be served in time. */
+    WAIT,
+
+    /** All endpoints were busy for as long as it could wait. */
+    BUSY,
+
+    /** No endpoint may serve it. */
+    NOWHERE,
+
+    /** Waiting calls use up their memory. */
+    MEMORY,
+
+    /** Its attempts failed. */
+    FAILED,
+
+    /** Any other cause, such as a request that crashes endpoints. */
+    OTHER
+}
+
 /** An error response with [status]; status 503 states that the request was not executed. */
-class Refusal(val status: Int, val reason: String, val retryAfterMillis: Long? = null) {
+class Refusal(
+    val status: Int,
+    val reason: String,
+    val retryAfterMillis: Long? = null,
+    val cause: RefusalCause = RefusalCause.OTHER
+) {
     /** Headers of the response. */
     fun headers(codec: RequestCodec, id: RequestId): List<HeaderLine> = buildList {
         add(HeaderLine("Content-Type", "application/problem+json"))
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/GatewayTest.kt
@@ -171,7 +171,7 @@
         describe("an idempotent request") {
             it("is not reported as not executed when the queue has no room for its retry") {
                 val first = endpoint { _, _ -> }
-                val gateway = TestGateway(listOf(first.port), queueMax = 0)
+                val gateway = TestGateway(listOf(first.port), waitingMaxBytes = 0)
                 gateway.call("/idempotent/") shouldContain "502"
                 first.received.size shouldBe 1
             }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -141,7 +141,7 @@
     isListed: Boolean = true,
     targetMillis: Long = CALL_SECONDS * 1000L,
     bodyMaxBytes: Int = 1000,
-    queueMax: Int = 256,
+    waitingMaxBytes: Long = 1_000_000,
     codec: RequestCodec = TestRequestCodec,
     endpointsMax: Int = 2,
     limits: CallerLimits = CallerLimits(16_384, bodyMaxBytes, 3000, 15_000),
@@ -200,8 +200,8 @@
                 codec,
                 events.log,
                 metrics,
-                queueMax,
-                responseMemoryBytes
+                waitingMaxBytes = waitingMaxBytes,
+                responseMemoryBytes = responseMemoryBytes
             )
         server = GatewayServer(
             loop,
