--- a/core/src/main/kotlin/org/toucanspur/core/gateway/OverloadAdmission.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/OverloadAdmission.kt
@@ -80,7 +80,8 @@
         // Without priorities, requests wait at the entries that are refused soon.
         val atEntries = if (isPrioritised) waitingAtEntries else 0
         val waitingShare = load.waitingShare + atEntries / load.slots.toDouble()
-        val excess = load.freeShare - waitingShare
+        val excess = maxOf(0.0, free - FULL_FREE_SHARE) -
+            maxOf(0.0, waitingShare - FULL_WAITING_SHARE)
         val isLimiting = shares.values.any { it < FULL_SHARE }
         val change = if (excess > 0 && !isLimiting) {
             (1 - correction) * elapsedMillis / RELAXATION_MILLIS
@@ -90,6 +91,7 @@
         correction = (correction + change).coerceIn(CORRECTION_MIN, CORRECTION_MAX)
     }
 
+    fun debug() = "corr $correction free $free shares $shares over $isOverloaded"
     /** Part of the requests of [priority] that is admitted. */
     fun share(priority: Int): Double {
         if (!isPrioritised || isMostlyFree) return 1.0
@@ -137,8 +139,8 @@
         // Reports and notices are about a second old. A correction that is as fast as that
         // oscillates; this one takes some seconds.
         const val CORRECTION_GAIN = 0.5
-        const val CORRECTION_MIN = 0.4
-        const val CORRECTION_MAX = 2.0
+        const val CORRECTION_MIN = 0.95
+        const val CORRECTION_MAX = 1.6
         const val RELAXATION_MILLIS = 5000.0
         const val UPDATE_MAX_MILLIS = 500L
         const val FREE_SMOOTHING_MILLIS = 300.0
@@ -148,6 +150,10 @@
         // the next report.
         const val FULL_FREE_SHARE = 0.08
         const val ROOM_FREE_SHARE = 0.28
+
+        // Entries whose reports are 325 ms old leave a quarter of the slots' number waiting at the
+        // fuller endpoints of a service at its capacity (OverloadReplayTest).
+        const val FULL_WAITING_SHARE = 0.3
         const val FULL_SHARE = 0.97
 
         // A caller that was refused should not be refused again and again; its request is late, so
@@ -161,6 +167,26 @@
     }
 }
 
+/**
+ * Budget for the first byte of a request to an overloaded service with several priorities, whose
+ * own budget is [budgetMillis]. [leastMillis] is the smallest budget of all kinds: requests with
+ * more time would otherwise fill the queues of the endpoints before more urgent ones. An endpoint
+ * starts the most urgent requests first, so these do not wait for unreported arrivals.
+ */
+fun contendedBudgetMillis(
+    budgetMillis: Double,
+    leastMillis: Double,
+    isMostUrgent: Boolean,
+    engine: EngineTiming?
+): Double = when {
+    !isMostUrgent -> minOf(budgetMillis, leastMillis)
+    engine == null -> budgetMillis
+    else -> budgetMillis + UNREPORTED_URGENT * completionIntervalMillis(engine)
+}
+
+// Arrivals that a prediction assumes at a nearly full engine since its last report.
+private const val UNREPORTED_URGENT = 3.0
+
 /**
  * Part of each priority in [demand] that is admitted with a capacity of [costPerSecond]. Each
  * priority gets its minimum and the rest goes to the most urgent ones first.
