--- a/core/src/test/kotlin/org/toucanspur/core/gateway/OverloadReplayTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/OverloadReplayTest.kt
@@ -1,6 +1,9 @@
 package org.toucanspur.core.gateway
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThan
 import java.util.PriorityQueue
 import kotlin.math.exp
 import kotlin.math.ln
@@ -370,10 +373,42 @@
 
 class OverloadReplayTest :
     DescribeSpec({
-        describe("x") {
-            it("y") {
-                println("before\n" + OverloadReplay(1, isScheduled = false).run().describe())
-                println("after\n" + OverloadReplay(1, isScheduled = true).run().describe())
+        for (seed in 1..2) {
+            describe("three priorities at 1.49 times the capacity (seed $seed)") {
+                val before = OverloadReplay(seed, isScheduled = false).run()
+                val after = OverloadReplay(seed, isScheduled = true).run()
+                println("first in, first out\n${before.describe()}")
+                println("scheduled\n${after.describe()}")
+                val all = after.overloaded
+                val byKind = kinds.map { kind -> all.filter { it.kind === kind } }
+                // Guards against serving cheap requests of low priority before urgent ones.
+                it("are served in their order") {
+                    byKind[0].served shouldBeGreaterThan byKind[1].served - 0.05
+                    byKind[1].served shouldBeGreaterThan byKind[2].served - 0.05
+                    byKind[0].served shouldBeGreaterThan
+                        2 * before.overloaded.filter { it.kind === kinds[0] }.served
+                }
+                it("are all served at least a quarter as often as all requests") {
+                    byKind.forAll { it.served shouldBeGreaterThan all.served / 4 }
+                    all.groupBy { it.organisation }.values.toList()
+                        .forAll { it.served shouldBeGreaterThan all.served / 4 }
+                }
+                it("serve large requests at least half as often as their kind") {
+                    byKind.forAll { kind ->
+                        kind.largest(0.0, 0.1).served shouldBeGreaterThan kind.served / 2
+                        kind.largest(0.1, 0.3).served shouldBeGreaterThan kind.served / 2
+                    }
+                }
+                // Guards against the costliest loss: requests held and then given up.
+                it("are refused at once") {
+                    byKind.forAll { kind ->
+                        val held = kind.sumOf { it.heldMillis } / kind.sumOf { it.refusals }
+                        held shouldBeLessThan 400 / 8
+                    }
+                }
+                it("are all served once there is room again") {
+                    after.relieved.served shouldBeGreaterThan 0.97
+                }
             }
         }
     })
