--- a/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
@@ -22,7 +22,13 @@
     /** Record read at the take-over or written since; null before the first take-over. */
     val record: DutyRecord?
 
-    /** Stores [record] with a renewal; true once the write is confirmed and the lease still held. */
+    /**
+     * Time of day up to which the [record] may lack windows that were reported, because the store
+     * was restored from an older copy. A window that ended before it must not be made final.
+     */
+    val recordGapUntilMillis: Long get() = 0
+
+    /** Stores [record] with a renewal; true once the write is confirmed and the lease is held. */
     suspend fun store(record: DutyRecord): Boolean
 }
 
@@ -49,7 +55,13 @@
 
 /** Decisions that must stay the same after a change of holder; the lease object contains them. */
 @Serializable
-data class DutyRecord(val windows: List<RecordedWindow> = emptyList())
+data class DutyRecord(
+    val windows: List<RecordedWindow> = emptyList(),
+    /** Last window that is final; an earlier one that [windows] lacks is not reported. */
+    val finalUntil: Long = 0,
+    /** Numbers of endpoints ordered last. */
+    val orders: List<EndpointOrder> = emptyList()
+)
 
 /** Final [counts] of [window]; [isAccepted] once the platform has confirmed them. */
 @Serializable
@@ -58,3 +70,7 @@
     val counts: Map<OrganisationId, Long>,
     val isAccepted: Boolean
 )
+
+/** Order for [count] endpoints of [service] in [zone]. */
+@Serializable
+data class EndpointOrder(val service: ServiceId, val zone: ZoneId, val count: Int)
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/ServiceLoad.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/ServiceLoad.kt
@@ -8,9 +8,6 @@
 private const val MILLIS_PER_SECOND = 1000.0
 private const val PERCENT = 100.0
 
-// Typical duration of a call to a service without a model engine.
-private const val DEFAULT_CALL_MILLIS = 20.0
-
 /** Load of the endpoints of a service that can take requests. */
 data class ServiceLoad(
     val endpoints: Int,
@@ -18,7 +15,7 @@
     val occupied: Int,
     /** Requests that wait at endpoints. */
     val waiting: Int,
-    /** Cost in milliseconds, see [requestCostMillis], that can be served per second. */
+    /** Cost in milliseconds of engines, or of slots, that can be served per second. */
     val costPerSecond: Double,
     /** Time per step of the slowest endpoint relative to its typical value. */
     val paceMax: Double = 1.0
@@ -33,17 +30,6 @@
     val isMostlyFree: Boolean get() = slots > 0 && waiting == 0 && occupied * 2 < slots
 }
 
-/**
- * Time for which a request with a prompt of [promptTokens] occupies an engine of [service], or a
- * slot of an endpoint without one.
- */
-fun requestCostMillis(service: TrafficService, promptTokens: Int?): Double {
-    val engine = service.engine ?: return DEFAULT_CALL_MILLIS
-    val running = maxOf(1, engine.slots)
-    return engine.typicalOutputTokens * stepMillis(engine, running) / running +
-        prefillMillis(engine, promptTokens ?: engine.typicalPromptTokens)
-}
-
 /** Time that the prompt of a request takes more than a typical one. */
 fun extraPrefillMillis(engine: EngineTiming, promptTokens: Int): Double =
     prefillMillis(engine, maxOf(0, promptTokens - engine.typicalPromptTokens))
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -25,7 +25,6 @@
 import org.toucanspur.core.gateway.TrafficService
 import org.toucanspur.core.gateway.WaitPolicy
 import org.toucanspur.core.gateway.WaitingCall
-import org.toucanspur.core.gateway.requestCostMillis
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.OrganisationId
@@ -49,6 +48,9 @@
     /** Called when the response of an [endpoint] that ran the request begins. */
     fun onResponseBegun(call: Call, endpoint: FleetEndpoint)
 
+    /** Called once, when an endpoint has begun to run [call] for the first time. */
+    fun onBegun(call: Call)
+
     /** Called when the response of the endpoint is complete. */
     fun onResponseComplete(call: Call, status: Int)
 
@@ -99,7 +101,7 @@
     override var untilMillis = 0L
     override var reviewMillis = 0L
     override var placementKind: Any = Unit
-    override val costMillis: Double = requestCostMillis(service, metadata.promptTokens)
+    override var costMillis = 0.0
     override val heldBytes: Long get() = HELD_MIN_BYTES + request.body.size
     override val serviceId: ServiceId get() = service.id
     override val organisationId: OrganisationId? get() = organisation?.id
@@ -171,6 +173,7 @@
     private var eventSplitter: EventStreamSplitter? = null
     private var bufferedBody = ByteArrayOutputStream(0)
     private var isSealed = false
+    private var isBegun = false
     private var committedMediaType = ""
     private var silentAttempt: SilentAttempt? = null
 
@@ -407,11 +410,19 @@
         }
         responseHead = response
         isSealed = delegate.codec.isSealed { response.headers().get(it) }
+        // A stream has begun to run with its first event.
+        if (isSealed && route.kind != CallKind.STREAM) markBegun()
         val type = response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
         val isStream = route.kind == CallKind.STREAM && status in SUCCESS
         if (isStream || type.startsWith(EVENT_STREAM)) eventSplitter = EventStreamSplitter()
     }
 
+    private fun markBegun() {
+        if (isBegun) return
+        isBegun = true
+        delegate.onBegun(this)
+    }
+
     private fun onNotExecuted(status: Int) {
         val observation = when {
             status != MISDIRECTED -> EndpointSignal.OVERLOADED
@@ -468,6 +479,7 @@
             return
         }
         if (batch == null) return
+        markBegun()
         commit()
         attemptEvents++
         if (attemptEvents == PROGRESS_EVENTS) delegate.crashes.onProgress(this)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -10,7 +10,6 @@
 import org.toucanspur.core.gateway.AttemptHistory
 import org.toucanspur.core.gateway.AttemptOutcome
 import org.toucanspur.core.gateway.CallerRequestMetadata
-import org.toucanspur.core.gateway.DemandSource
 import org.toucanspur.core.gateway.EndpointRequestMetadata
 import org.toucanspur.core.gateway.EndpointSignal
 import org.toucanspur.core.gateway.EndpointStatement
@@ -35,13 +34,12 @@
     override val codec: RequestCodec,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
-    demands: DemandSource? = null,
     waitingMaxBytes: Long = Runtime.getRuntime().maxMemory() / WAITING_MEMORY_SHARE,
     responseMemoryBytes: Long = Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_SHARE
 ) : CallDelegate {
     private val admission = CallAdmission(state)
     private val versions = CallVersions(state, log, metrics)
-    private val overload = OverloadControl(state, demands)
+    private val overload = OverloadControl(state)
     private val placements = CallPlacement(state, versions, overload)
     private val statements = EndpointStatements(log)
     private val callLog = CallLog(log, state)
@@ -118,6 +116,8 @@
         )
         activeCalls += call
         call.isOnTime = isOnTime(call)
+        call.costMillis = state.exchange.costMillis(call)
+        state.exchange.onRequest(call)
         state.retryAllowance(call.service.id).onRequest(monotonicMillis())
         grace?.let { call.limitDeadline(it.endMillis) }
         scheduleDeadline(call)
@@ -148,7 +148,7 @@
 
     private fun isAdmitted(call: Call): Boolean {
         val now = monotonicMillis()
-        if (overload.admits(call, now)) return true
+        if (overload.admits(call)) return true
         val retryAfterMillis = overload.retryAfterMillis(call, now)
         refuse(call, Refusal(UNAVAILABLE, BUSY, retryAfterMillis, RefusalCause.SHARE))
         return false
@@ -258,9 +258,9 @@
     private fun end(call: Call, refusal: Refusal) {
         if (call.isFinished) return
         callLog.onRefused(call, refusal, queue.size)
+        if (refusal.status == UNAVAILABLE) state.exchange.onRefused(call)
         metrics.onRefused(refusal.status)
         metrics.onCallRefused(call.priority, refusal.cause)
-        if (refusal.status == UNAVAILABLE) overload.onRefused(call, monotonicMillis())
         call.refuse(refusal.status, refusal.headers(codec, call.id), refusal.body())
         activeCalls -= call
     }
@@ -322,8 +322,11 @@
     override fun onResponseBegun(call: Call, endpoint: FleetEndpoint) =
         versions.onResponseBegun(call, endpoint)
 
+    override fun onBegun(call: Call) = state.exchange.onBegun(call)
+
     override fun onResponseComplete(call: Call, status: Int) {
         activeCalls -= call
+        state.exchange.onComplete(call)
         val total = monotonicMillis() - call.request.receivedMillis
         val firstByte = call.firstByteMillis - call.request.receivedMillis
         metrics.onResponseComplete(firstByte, total, call.predictedMillis)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/OverloadControl.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/OverloadControl.kt
@@ -1,15 +1,12 @@
 /*
- * Applies the admission under overload to the calls of one entry: measures the demand, follows the
- * load of each service, and decides which calls are refused and when their callers come back.
+ * Applies the admission under overload to the calls of one entry: follows the demand at all
+ * entries and the load of each service, and decides which calls are refused and when their callers come back.
  */
 package org.toucanspur.daemon.gateway
 
 import kotlin.random.Random
-import org.toucanspur.core.gateway.DemandSource
 import org.toucanspur.core.gateway.OverloadAdmission
-import org.toucanspur.core.gateway.ServiceDemand
 import org.toucanspur.core.gateway.TrafficConfiguration
-import org.toucanspur.core.gateway.TrafficService
 import org.toucanspur.core.gateway.WaitCapacity
 import org.toucanspur.core.gateway.WaitPolicy
 import org.toucanspur.core.gateway.contendedBudgetMillis
@@ -17,7 +14,7 @@
 import org.toucanspur.schema.ServiceId
 
 /** Admission of calls under overload at one entry; confined to the event loop. */
-class OverloadControl(private val state: GatewayState, private val demands: DemandSource?) {
+class OverloadControl(private val state: GatewayState) {
     private val admissions = HashMap<ServiceId, OverloadAdmission>()
     private val priorities = HashMap<ServiceId, Set<Int>>()
     private val leastTargets = HashMap<ServiceId, Long>()
@@ -26,23 +23,10 @@
     private var updatedMillis = Long.MIN_VALUE
     private val random: Random get() = state.random
 
-    /** Records the arrival of [call] and returns whether it is admitted. */
-    fun admits(call: Call, nowMillis: Long): Boolean {
-        val isRepeated = !call.isOnTime
-        state.demand.onRequest(
-            call.service.id,
-            call.priority,
-            call.costMillis,
-            isRepeated,
-            nowMillis
-        )
-        val admission = admissions[call.service.id] ?: return true
-        return admission.admits(call.priority, call.organisation?.id, isRepeated)
-    }
-
-    /** Records that [call] was refused before any endpoint ran it. */
-    fun onRefused(call: Call, nowMillis: Long) =
-        state.demand.onRefused(call.service.id, call.priority, call.costMillis, nowMillis)
+    /** Whether [call] is admitted. */
+    fun admits(call: Call): Boolean = admissions[call.service.id]
+        ?.admits(call.priority, call.organisation?.id, isRepeated = !call.isOnTime)
+        ?: true
 
     /** Updates the admission to all services; [waitingCount] gives the calls that can be on time. */
     fun update(nowMillis: Long, waitingCount: (ServiceId) -> Int) {
@@ -52,7 +36,7 @@
         if (configuration !== prioritiesOf) onConfiguration(configuration)
         val entryCount = state.entryCount(nowMillis)
         for (service in configuration.services.values) {
-            val demand = totalDemand(service, entryCount, nowMillis)
+            val demand = state.exchange.demand.total(service.id, nowMillis)
             if (demand.isEmpty() && service.id !in admissions) continue
             val load = state.fleet.loadOf(service, nowMillis, entryCount)
             paces[service.id] = load.paceMax
@@ -66,13 +50,6 @@
         }
     }
 
-    private fun totalDemand(
-        service: TrafficService,
-        entryCount: Int,
-        nowMillis: Long
-    ): List<ServiceDemand> = demands?.total(service.id, nowMillis)?.ifEmpty { null }
-        ?: state.demand.projected(service.id, entryCount, nowMillis)
-
     private fun onConfiguration(configuration: TrafficConfiguration) {
         prioritiesOf = configuration
         priorities.clear()
