Send a call under review when an endpoint has room, and bound the time that callers state

Cause: a call that was reviewed right after its group was closed for the pass was refused although an endpoint took it; one caller with a long remaining time made all other first attempts look late.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -140,7 +140,9 @@
     // A caller that retries after a refusal sends a shorter remaining time than a first attempt.
     // The longest remaining time seen on the route stands for that of a first attempt.
     private fun isOnTime(call: Call): Boolean {
-        val remaining = call.metadata.remainingMillis ?: return true
+        // One caller with much time must not make all others late.
+        val remaining =
+            minOf(call.metadata.remainingMillis ?: return true, call.route.timeoutMillis)
         val longest = maxOf(remaining, maxRemainingMillis[call.route.name] ?: 0)
         maxRemainingMillis[call.route.name] = longest
         return longest - remaining < call.route.targetMillis / 2
@@ -446,10 +448,7 @@
         // As a last resort, accepts an endpoint that may load weights before the response ends.
         val finalPlacement = placements.place(call, nowMillis, isFinalAttempt = true)
         when {
-            call.executedAttempts > 0 && finalPlacement is Placement.Send -> send(
-                call,
-                finalPlacement
-            )
+            finalPlacement is Placement.Send -> send(call, finalPlacement)
             call.isCommitted -> fail(call, "no endpoint to resume at")
             nowMillis < call.untilMillis -> failUnplaced(call, finalPlacement, RefusalCause.WAIT)
             else -> failUnplaced(call, finalPlacement)
