--- a/core/src/test/kotlin/org/toucanspur/core/gateway/RetryBudgetShareTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/RetryBudgetShareTest.kt
@@ -30,6 +30,14 @@
                 val budget = RetryBudgetShare(limits)
                 (1..100).count { budget.tryAcquire(0, entryCount = 4) } shouldBe 20
             }
+            // Guards against less urgent requests that use up the budget under contention.
+            it("keeps a part of its share for urgent requests") {
+                val budget = RetryBudgetShare(limits)
+                fun retries(part: Double) =
+                    (1..100).count { budget.tryAcquire(0, entryCount = 4, usablePart = part) }
+                retries(0.5) shouldBe 10
+                retries(1.0) shouldBe 10
+            }
             it("regains its share after the window has passed") {
                 val budget = RetryBudgetShare(limits)
                 repeat(100) { budget.tryAcquire(0, entryCount = 4) }
