--- a/core/src/main/kotlin/org/toucanspur/core/gateway/OverloadAdmission.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/OverloadAdmission.kt
@@ -1,7 +1,7 @@
 /*
  * Admission of requests to a service whose callers ask for more than its endpoints can serve. The
- * load: three priorities that together ask for 1.49 times the capacity for minutes, bursts of 1.5 to
- * 2.5 times one kind for 3 to 7 s, endpoint crashes, and 13 entries whose reports of the endpoints
+ * load: three priorities that together ask for 1.49 times the capacity for minutes, bursts of 1.5
+ * to 2.5 times one kind for 3 to 7 s, endpoint crashes, and 13 entries whose reports of the endpoints
  * are 325 ms and whose notices of each other's demand about a second old.
  *
  * Every entry computes from the same notices and reports which part of each priority is admitted.
@@ -224,6 +224,9 @@
 
 private const val MINIMUM_ROUNDS = 4
 
+// Repeated requests get a quarter of the share of first ones.
+private const val UNSERVED_REPEATS = 0.75
+
 // Each kind is served at least a quarter as often as all requests are; the rest is a margin for
 // admitted requests that are not served in time after all.
 private const val MINIMUM_OF_ALL = 0.33
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/WaitingCalls.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/WaitingCalls.kt
@@ -1,6 +1,6 @@
 /*
- * Requests of one entry that wait for a free slot at an endpoint. The load: two thirds more requests
- * than the engines can serve, from 24 organisations of which one sends much of the traffic, in
+ * Requests of one entry that wait for a free slot at an endpoint. The load: two thirds more
+ * requests than the engines can serve, from 24 organisations of which one sends much of the traffic, in
  * bursts of some seconds, while endpoints crash and load weights.
  *
  * Requests are served by rank; within a rank by weighted fair queueing between organisations, by
