--- a/core/src/main/kotlin/org/toucanspur/core/gateway/OverloadAdmission.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/OverloadAdmission.kt
@@ -1,14 +1,14 @@
 /*
  * Admission of requests to a service whose callers ask for more than its endpoints can serve. The
  * load: three priorities that together ask for 1.49 times the capacity for minutes, bursts of 1.5
- * to 2.5 times one kind for 3 to 7 s, endpoint crashes, and 13 entries whose reports of the endpoints
- * are 325 ms and whose notices of each other's demand about a second old.
+ * to 2.5 times one kind for 3 to 7 s, endpoint crashes, and 13 entries whose reports of the
+ * endpoints are 325 ms and whose notices of each other's demand about a second old.
  *
  * Every entry computes from the same notices and reports which part of each priority is admitted.
- * The estimate of the capacity is corrected by what the endpoints report: free slots raise it, and
- * requests that wait at endpoints or entries lower it. Each organisation has a credit per priority,
- * which rises by the admitted part with each request and pays for one that is admitted, so that all
- * organisations and all sizes of requests are refused alike.
+ * The estimate of the capacity is corrected by what the endpoints report: free slots raise it,
+ * and requests that wait at endpoints or entries lower it. Each organisation has a credit per
+ * priority, which rises by the admitted part with each request and pays for one that is admitted,
+ * so that all organisations and all sizes of requests are refused alike.
  */
 package org.toucanspur.core.gateway
 
@@ -195,8 +195,8 @@
         Asked(
             kinds.sumOf { it.milliRequestsPerSecond }.toDouble(),
             kinds.sumOf {
-                it.costMillisPerSecond - it.repeatedCostMillisPerSecond * 3 / 4
-            }.toDouble()
+                it.costMillisPerSecond - it.repeatedCostMillisPerSecond * UNSERVED_REPEATS
+            }
         )
     }
     val total = byPriority.values.sumOf { it.cost }
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/WaitPolicy.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/WaitPolicy.kt
@@ -1,9 +1,9 @@
 /*
  * Waiting times, budgets and retry delays of requests that wait at an entry, for arrival rates
  * above the capacity and for short interruptions such as a weight load. A request waits only as
- * long as it can still meet its latency target; otherwise it is refused with the time at which a slot is
- * expected. Requests that are already late, because they were refused before and retried by the
- * caller, are served after those that can still be on time.
+ * long as it can still meet its latency target; otherwise it is refused with the time at which a
+ * slot is expected. Requests that are already late, because they were refused before and retried
+ * by the caller, are served after those that can still be on time.
  */
 package org.toucanspur.core.gateway
 
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/WaitingCalls.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/WaitingCalls.kt
@@ -1,13 +1,13 @@
 /*
  * Requests of one entry that wait for a free slot at an endpoint. The load: two thirds more
- * requests than the engines can serve, from 24 organisations of which one sends much of the traffic, in
- * bursts of some seconds, while endpoints crash and load weights.
+ * requests than the engines can serve, from 24 organisations of which one sends much of the
+ * traffic, in bursts of some seconds, while endpoints crash and load weights.
  *
  * Requests are served by rank; within a rank by weighted fair queueing between organisations, by
- * cost and with equal weights; within an organisation by the time until which service is useful. A
- * part of the capacity goes to the lower ranks first, so that they do not starve. Requests with the
- * same constraints on their endpoint form a group: if one finds all endpoints busy, so will the
- * others, and they are not asked for in the same pass. A pass costs as much as the number of
+ * cost and with equal weights; within an organisation by the time until which service is useful.
+ * A part of the capacity goes to the lower ranks first, so that they do not starve. Requests with
+ * the same constraints on their endpoint form a group: if one finds all endpoints busy, so will
+ * the others, and they are not asked for in the same pass. A pass costs as much as the number of
  * requests placed and of groups.
  */
 package org.toucanspur.core.gateway
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/OverloadControl.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/OverloadControl.kt
@@ -1,6 +1,7 @@
 /*
  * Applies the admission under overload to the calls of one entry: follows the demand at all
- * entries and the load of each service, and decides which calls are refused and when their callers come back.
+ * entries and the load of each service, and decides which calls are refused and when their
+ * callers come back.
  */
 package org.toucanspur.daemon.gateway
 
@@ -28,7 +29,7 @@
         ?.admits(call.priority, call.organisation?.id, isRepeated = !call.isOnTime)
         ?: true
 
-    /** Updates the admission to all services; [waitingCount] gives the calls that can be on time. */
+    /** Updates the admission; [waitingCount] gives the waiting calls that can be on time. */
     fun update(nowMillis: Long, waitingCount: (ServiceId) -> Int) {
         if (updatedMillis != Long.MIN_VALUE && nowMillis - updatedMillis < UPDATE_MILLIS) return
         updatedMillis = nowMillis
@@ -86,8 +87,8 @@
     )
 
     /**
-     * Budget for the first byte of [call], which has waited for [elapsedMillis] and whose own one is
-     * [budgetMillis].
+     * Budget for the first byte of [call], which has waited for [elapsedMillis] and whose own
+     * one is [budgetMillis].
      */
     fun budgetMillis(call: Call, budgetMillis: Double, elapsedMillis: Long): Double {
         val service = call.service
