--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -23,13 +23,9 @@
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
-import org.toucanspur.core.gateway.WaitPolicy
-import org.toucanspur.core.gateway.WaitingCall
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.schema.EndpointId
-import org.toucanspur.schema.OrganisationId
 import org.toucanspur.schema.RequestId
-import org.toucanspur.schema.ServiceId
 
 /** Callbacks and services that a [Call] needs from its dispatcher. */
 interface CallDelegate {
@@ -73,14 +69,14 @@
 /** An active call; confined to the event loop. */
 class Call(
     val connection: CallerConnection,
-    val request: BufferedRequest,
+    request: BufferedRequest,
     val id: RequestId,
     val metadata: CallerRequestMetadata,
-    val route: TrafficRoute,
-    val service: TrafficService,
-    val organisation: Organisation?,
+    route: TrafficRoute,
+    service: TrafficService,
+    organisation: Organisation?,
     private val delegate: CallDelegate
-) : WaitingCall,
+) : RoutedCall(request, route, service, organisation),
     ExchangeListener {
     /** Time by which the caller receives a final response. */
     var deadlineMillis: Long = request.receivedMillis +
@@ -98,23 +94,7 @@
     var unexecutedAttempts = 0
         private set
 
-    override var untilMillis = 0L
-    override var reviewMillis = 0L
-    override var placementKind: Any = Unit
-    override var costMillis = 0.0
-    override val heldBytes: Long get() = HELD_MIN_BYTES + request.body.size
-    override val serviceId: ServiceId get() = service.id
-    override val organisationId: OrganisationId? get() = organisation?.id
-    override val rank: Int get() = WaitPolicy.rank(isOnTime || isCommitted, priority)
-
-    /** Priority of the organisation, else of the route; 0 is the highest. */
-    val priority: Int get() = organisation?.priority ?: route.priority
-
-    /** Whether the request can still meet its latency target. */
-    var isOnTime = true
-
-    /** Whether part of a response has been written to the caller. */
-    var isCommitted = false
+    override var isCommitted = false
         private set
 
     /** Whether the call is finished from the point of view of the caller. */
@@ -589,9 +569,6 @@
         const val PROGRESS_EVENTS = 2
         const val EVENT_STREAM = "text/event-stream"
 
-        // Header fields of up to 16 KiB, mostly far below it, and the objects of a connection.
-        const val HELD_MIN_BYTES = 8192L
-
         // Responses up to this size are buffered until they are complete, so that the request can
         // be retried if the response breaks off.
         const val BUFFERED_MAX_BYTES = 128 * 1024
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -44,10 +44,10 @@
     private val statements = EndpointStatements(log)
     private val callLog = CallLog(log, state)
     override val crashes = CrashObserver(state, log, metrics)
+    private val refusals = RefusalPolicy(state, placements, overload)
     private val queue = CallScheduler(placements, overload, waitingMaxBytes)
     private val responseMemory = ResponseMemory<Call>(responseMemoryBytes)
     private val activeCalls = LinkedHashSet<Call>()
-    private val maxRemainingMillis = HashMap<String, Long>()
     private var grace: GracePeriod? = null
 
     /** Number of requests without a final response. */
@@ -115,13 +115,15 @@
             this
         )
         activeCalls += call
-        call.isOnTime = isOnTime(call)
+        call.isOnTime = refusals.isOnTime(call)
         call.costMillis = state.exchange.costMillis(call)
         state.exchange.onRequest(call)
         state.retryAllowance(call.service.id).onRequest(monotonicMillis())
         grace?.let { call.limitDeadline(it.endMillis) }
         scheduleDeadline(call)
-        guarded(call) { if (isAdmitted(call)) sendOrQueue(call) }
+        guarded(call) {
+            refusals.shareRefusal(call)?.let { refuse(call, it) } ?: sendOrQueue(call)
+        }
         return call
     }
 
@@ -137,25 +139,6 @@
         }
     }
 
-    // A caller that retries after a refusal sends a shorter remaining time than a first attempt.
-    // The longest remaining time seen on the route stands for that of a first attempt.
-    private fun isOnTime(call: Call): Boolean {
-        // One caller with much time must not make all others late.
-        val remaining =
-            minOf(call.metadata.remainingMillis ?: return true, call.route.timeoutMillis)
-        val longest = maxOf(remaining, maxRemainingMillis[call.route.name] ?: 0)
-        maxRemainingMillis[call.route.name] = longest
-        return longest - remaining < call.route.targetMillis / 2
-    }
-
-    private fun isAdmitted(call: Call): Boolean {
-        val now = monotonicMillis()
-        if (overload.admits(call)) return true
-        val retryAfterMillis = overload.retryAfterMillis(call, now)
-        refuse(call, Refusal(UNAVAILABLE, BUSY, retryAfterMillis, RefusalCause.SHARE))
-        return false
-    }
-
     private fun sendOrQueue(call: Call) {
         val now = monotonicMillis()
         crashes.refusal(call, now)?.let {
@@ -187,7 +170,7 @@
         if (call.mayHaveExecuted) {
             fail(call, "no endpoint for another send")
         } else {
-            refuseUnplaced(call, placement, cause)
+            refuse(call, refusals.unplaced(call, placement, cause))
         }
 
     private fun send(call: Call, placement: Placement.Send) {
@@ -233,23 +216,6 @@
         return keyRefusal ?: crashes.refusal(call, nowMillis)
     }
 
-    private fun refuseUnplaced(call: Call, placement: Placement, cause: RefusalCause?) {
-        val isNowhere = placement is Placement.Nowhere
-        val opensInMillis = (placement as? Placement.Busy)?.opensInMillis ?: 0
-        // What endpoints ask for decides when they take requests again, else the load does.
-        val isShared = !isNowhere &&
-            opensInMillis == 0L &&
-            overload.isOverloaded(call.service.id)
-        val retryAfterMillis = if (isShared) {
-            overload.retryAfterMillis(call, monotonicMillis())
-        } else {
-            placements.retryAfterMillis(call, placement)
-        }
-        val reason = if (isNowhere) "no endpoint can serve" else BUSY
-        val known = cause ?: if (isNowhere) RefusalCause.NOWHERE else RefusalCause.BUSY
-        refuse(call, Refusal(UNAVAILABLE, reason, retryAfterMillis, known))
-    }
-
     // A call whose response has begun at a silent endpoint is not ended for want of another one.
     private fun refuse(call: Call, refusal: Refusal) {
         if (!call.restoreSilentAttempt()) end(call, refusal)
@@ -284,9 +250,7 @@
 
     override fun mayRetry(call: Call): Boolean {
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return false
-        val now = monotonicMillis()
-        return state.retryAllowance(call.service.id)
-            .hasRoom(now, state.entryCount(now), overload.retryPart(call))
+        return refusals.mayRetry(call)
     }
 
     override fun onAttemptFailed(call: Call, outcome: AttemptOutcome, reason: String) {
@@ -301,7 +265,7 @@
             )
         val mayRetry = when (decideRetry(call.route, history)) {
             RetryDecision.UNBUDGETED -> true
-            RetryDecision.BUDGETED -> takeRetryPermit(call, monotonicMillis())
+            RetryDecision.BUDGETED -> refusals.tryRetry(call, monotonicMillis())
             RetryDecision.DENIED -> false
         }
         call.mayHaveExecuted = call.mayHaveExecuted || outcome == AttemptOutcome.MAY_HAVE_RUN
@@ -485,7 +449,7 @@
         val placement = placements.place(call, nowMillis)
         val endpoint = call.endpoint
         if (placement !is Placement.Send || placement.endpoint === endpoint) return
-        if (!takeRetryPermit(call, nowMillis)) return
+        if (!refusals.tryRetry(call, nowMillis)) return
         endpoint?.onSignal(EndpointSignal.TRANSPORT_FAILURE, nowMillis)
         endpoint?.onSlowPath(nowMillis)
         callLog.onSilent(call, silentMillis)
@@ -509,10 +473,6 @@
         call.withdraw("endpoint is silent")
     }
 
-    private fun takeRetryPermit(call: Call, nowMillis: Long): Boolean =
-        state.retryAllowance(call.service.id)
-            .tryAcquire(nowMillis, state.entryCount(nowMillis), overload.retryPart(call))
-
     private companion object {
         // Part of the heap for responses that cannot be relayed yet; 20 MiB in the deployment.
         const val RESPONSE_MEMORY_SHARE = 8
@@ -529,7 +489,6 @@
         const val CONNECT_TIMEOUT_MILLIS = 300
 
         const val SHORT_RETRY_MILLIS = 200L
-        const val BUSY = "all endpoints are busy"
         const val INTERNAL_ERROR = "internal error"
     }
 }
