--- a/core/src/main/kotlin/org/toucanspur/core/gateway/TrafficConfiguration.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/TrafficConfiguration.kt
@@ -122,6 +122,8 @@
     val limits: CallerLimits,
     organisations: List<Organisation>
 ) {
+    private val ofOrganisations: Set<Int> = organisations.mapNotNull { it.priority }.toSet()
+
     private val byKey: Map<String, Organisation> =
         organisations.flatMap { org -> org.keys.map { it to org } }.toMap()
 
@@ -147,5 +149,17 @@
         return null
     }
 
+    /** Priorities of the requests to [service]. */
+    fun prioritiesOf(service: ServiceId): Set<Int> {
+        val ofRoutes = routes.filter { route -> route.targets.any { it.service == service } }
+            .map { it.priority }
+        return if (ofRoutes.isEmpty()) emptySet() else (ofRoutes + ofOrganisations).toSet()
+    }
+
+    /** Smallest latency target of the routes to [service]; 0 when there is none. */
+    fun leastTargetMillis(service: ServiceId): Long =
+        routes.filter { route -> route.targets.any { it.service == service } }
+            .minOfOrNull { it.targetMillis } ?: 0
+
     private fun hostName(host: String): String = host.substringBefore(':').lowercase()
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -21,7 +21,6 @@
 import org.toucanspur.core.gateway.HeaderLine
 import org.toucanspur.core.gateway.NamedLimit
 import org.toucanspur.core.gateway.Organisation
-import org.toucanspur.core.gateway.QueuedCall
 import org.toucanspur.core.gateway.RequestCodec
 import org.toucanspur.core.gateway.TrafficRoute
 import org.toucanspur.core.gateway.TrafficService
@@ -71,14 +70,14 @@
 /** An active call; confined to the event loop. */
 class Call(
     val connection: CallerConnection,
-    val request: BufferedRequest,
+    request: BufferedRequest,
     val id: RequestId,
     val metadata: CallerRequestMetadata,
-    val route: TrafficRoute,
-    val service: TrafficService,
-    val organisation: Organisation?,
+    route: TrafficRoute,
+    service: TrafficService,
+    organisation: Organisation?,
     private val delegate: CallDelegate
-) : QueuedCall,
+) : RoutedCall(request, route, service, organisation),
     ExchangeListener {
     /** Time by which the caller receives a final response. */
     var deadlineMillis: Long = request.receivedMillis +
@@ -96,11 +95,7 @@
     var unexecutedAttempts = 0
         private set
 
-    override var untilMillis = 0L
-    override var isOnTime = true
-
-    /** Whether part of a response has been written to the caller. */
-    var isCommitted = false
+    override var isCommitted = false
         private set
 
     /** Whether the call is finished from the point of view of the caller. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -9,7 +9,6 @@
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.AttemptHistory
 import org.toucanspur.core.gateway.AttemptOutcome
-import org.toucanspur.core.gateway.CallQueue
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRequestMetadata
 import org.toucanspur.core.gateway.EndpointSignal
@@ -34,20 +33,21 @@
     override val codec: RequestCodec,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
-    queueMax: Int = QUEUE_MAX,
+    waitingMaxBytes: Long = Runtime.getRuntime().maxMemory() / WAITING_MEMORY_SHARE,
     responseMemoryBytes: Long = Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_SHARE
 ) : CallDelegate {
     private val admission = CallAdmission(state)
     private val versions = CallVersions(state, log, metrics)
-    private val placements = CallPlacement(state, versions)
+    private val overload = OverloadControl(state)
+    private val placements = CallPlacement(state, versions, overload)
     private val statements = EndpointStatements(log)
     private val callLog = CallLog(log, state)
     private val speeds = EndpointSpeeds(state, log)
     override val crashes = CrashObserver(state, log, metrics)
-    private val queue = CallQueue<Call>(queueMax)
+    private val refusals = RefusalPolicy(state, placements, overload)
+    private val queue = CallScheduler(placements, overload, waitingMaxBytes)
     private val responseMemory = ResponseMemory<Call>(responseMemoryBytes)
     private val activeCalls = LinkedHashSet<Call>()
-    private val maxRemainingMillis = HashMap<String, Long>()
     private var grace: GracePeriod? = null
 
     /** Number of requests without a final response. */
@@ -115,12 +115,15 @@
             this
         )
         activeCalls += call
-        call.isOnTime = isOnTime(call)
+        call.isOnTime = refusals.isOnTime(call)
+        call.costMillis = state.exchange.costMillis(call)
         state.exchange.onRequest(call)
         state.retryAllowance(call.service.id).onRequest(monotonicMillis())
         grace?.let { call.limitDeadline(it.endMillis) }
         scheduleDeadline(call)
-        guarded(call) { sendOrQueue(call) }
+        guarded(call) {
+            refusals.shareRefusal(call)?.let { refuse(call, it) } ?: sendOrQueue(call)
+        }
         return call
     }
 
@@ -136,15 +139,6 @@
         }
     }
 
-    // A caller that retries after a refusal sends a shorter remaining time than a first attempt.
-    // The longest remaining time seen on the route stands for that of a first attempt.
-    private fun isOnTime(call: Call): Boolean {
-        val remaining = call.metadata.remainingMillis ?: return true
-        val longest = maxOf(remaining, maxRemainingMillis[call.route.name] ?: 0)
-        maxRemainingMillis[call.route.name] = longest
-        return longest - remaining < call.route.targetMillis / 2
-    }
-
     private fun sendOrQueue(call: Call) {
         val now = monotonicMillis()
         crashes.refusal(call, now)?.let {
@@ -152,17 +146,13 @@
             return
         }
         val placement = placements.place(call, now)
-        if (placement is Placement.Send) {
+        val isBehindOthers = queue.isBehindOthers(call)
+        if (placement is Placement.Send && !isBehindOthers) {
+            queue.onPlacedAtOnce(call)
             send(call, placement)
             return
         }
-        val remaining = call.deadlineMillis - now
-        val waitMillis = if (call.isCommitted) {
-            RESUME_WAIT_MILLIS
-        } else {
-            WaitPolicy.waitMillis(call.route.targetMillis, remaining, call.isOnTime)
-        }
-        call.untilMillis = now + minOf(waitMillis, remaining)
+        queue.limitWait(call, now)
         val isUnservable =
             !call.isCommitted &&
                 placement is Placement.Nowhere &&
@@ -171,15 +161,17 @@
             isUnservable || statements.mustRefuse(call, placement, queue.size, now) ->
                 failUnplaced(call, placement)
             queue.add(call) -> metrics.queued.increment()
-            else -> failUnplaced(call, placement)
+            else -> failUnplaced(call, placement, RefusalCause.MEMORY)
         }
+        if (placement is Placement.Send) drainQueue()
     }
 
-    private fun failUnplaced(call: Call, placement: Placement) = if (call.mayHaveExecuted) {
-        fail(call, "no endpoint for another send")
-    } else {
-        refuseUnplaced(call, placement)
-    }
+    private fun failUnplaced(call: Call, placement: Placement, cause: RefusalCause? = null) =
+        if (call.mayHaveExecuted) {
+            fail(call, "no endpoint for another send")
+        } else {
+            refuse(call, refusals.unplaced(call, placement, cause))
+        }
 
     private fun send(call: Call, placement: Placement.Send) {
         val now = monotonicMillis()
@@ -225,15 +217,6 @@
         return keyRefusal ?: crashes.refusal(call, nowMillis)
     }
 
-    private fun refuseUnplaced(call: Call, placement: Placement) {
-        val reason = if (placement is Placement.Busy) {
-            "all endpoints are busy"
-        } else {
-            "no endpoint can serve"
-        }
-        refuse(call, Refusal(UNAVAILABLE, reason, placements.retryAfterMillis(call, placement)))
-    }
-
     // A call whose response has begun at a silent endpoint is not ended for want of another one.
     private fun refuse(call: Call, refusal: Refusal) {
         if (!call.restoreSilentAttempt()) end(call, refusal)
@@ -246,6 +229,7 @@
         callLog.onRefused(call, refusal, queue.size)
         if (refusal.status == UNAVAILABLE) state.exchange.onRefused(call)
         metrics.onRefused(refusal.status)
+        metrics.onCallRefused(call.priority, refusal.cause)
         call.refuse(refusal.status, refusal.headers(codec, call.id), refusal.body())
         activeCalls -= call
     }
@@ -267,8 +251,7 @@
 
     override fun mayRetry(call: Call): Boolean {
         if (call.executedAttempts + 1 >= call.route.endpointsMax) return false
-        val now = monotonicMillis()
-        return state.retryAllowance(call.service.id).hasRoom(now, state.entryCount(now))
+        return refusals.mayRetry(call)
     }
 
     override fun onAttemptFailed(call: Call, outcome: AttemptOutcome, reason: String) {
@@ -283,7 +266,7 @@
             )
         val mayRetry = when (decideRetry(call.route, history)) {
             RetryDecision.UNBUDGETED -> true
-            RetryDecision.BUDGETED -> takeRetryPermit(call, monotonicMillis())
+            RetryDecision.BUDGETED -> refusals.tryRetry(call, monotonicMillis())
             RetryDecision.DENIED -> false
         }
         call.mayHaveExecuted = call.mayHaveExecuted || outcome == AttemptOutcome.MAY_HAVE_RUN
@@ -292,9 +275,10 @@
 
     private fun fail(call: Call, reason: String) {
         val refusal = if (call.mayHaveExecuted) {
-            Refusal(BAD_GATEWAY, reason)
+            Refusal(BAD_GATEWAY, reason, cause = RefusalCause.FAILED)
         } else {
-            Refusal(UNAVAILABLE, reason, placements.retryAfterMillis(call, Placement.Nowhere))
+            val retryAfterMillis = placements.retryAfterMillis(call, Placement.Nowhere)
+            Refusal(UNAVAILABLE, reason, retryAfterMillis, RefusalCause.FAILED)
         }
         refuse(call, refusal)
     }
@@ -398,8 +382,9 @@
     private fun tick() {
         val now = monotonicMillis()
         step("crashed endpoints") { crashes.confirm(now) }
+        step("overload") { queue.update(now) }
         drainQueue()
-        queue.removeExpired(now).forEach { guarded(it) { onWaitExpired(it, now) } }
+        queue.removeUnservable(now).forEach { guarded(it) { onWaitExpired(it, now) } }
         // The event loop may have been held up: what has arrived until now is read before the
         // timers run again.
         if (activeCalls.isNotEmpty()) loop.schedule("silence", 0) { judgeSilence(now) }
@@ -428,11 +413,9 @@
         // As a last resort, accepts an endpoint that may load weights before the response ends.
         val finalPlacement = placements.place(call, nowMillis, isFinalAttempt = true)
         when {
-            call.executedAttempts > 0 && finalPlacement is Placement.Send -> send(
-                call,
-                finalPlacement
-            )
+            finalPlacement is Placement.Send -> send(call, finalPlacement)
             call.isCommitted -> fail(call, "no endpoint to resume at")
+            nowMillis < call.untilMillis -> failUnplaced(call, finalPlacement, RefusalCause.WAIT)
             else -> failUnplaced(call, finalPlacement)
         }
     }
@@ -440,13 +423,13 @@
     private fun drainQueue() {
         val now = monotonicMillis()
         queue.drain { call ->
-            var isPlaced = false
+            var placement: Placement? = null
             guarded(call) {
-                val placement = placements.place(call, now)
-                isPlaced = placement is Placement.Send
-                if (placement is Placement.Send) send(call, placement)
+                val selected = placements.place(call, now)
+                placement = selected
+                if (selected is Placement.Send) send(call, selected)
             }
-            isPlaced
+            placement
         }
     }
 
@@ -467,7 +450,7 @@
         val placement = placements.place(call, nowMillis)
         val endpoint = call.endpoint
         if (placement !is Placement.Send || placement.endpoint === endpoint) return
-        if (!takeRetryPermit(call, nowMillis)) return
+        if (!refusals.tryRetry(call, nowMillis)) return
         endpoint?.onSignal(EndpointSignal.TRANSPORT_FAILURE, nowMillis)
         endpoint?.onSlowPath(nowMillis)
         callLog.onSilent(call, silentMillis)
@@ -491,9 +474,6 @@
         call.withdraw("endpoint is silent")
     }
 
-    private fun takeRetryPermit(call: Call, nowMillis: Long): Boolean =
-        state.retryAllowance(call.service.id).tryAcquire(nowMillis, state.entryCount(nowMillis))
-
     private companion object {
         // Part of the heap for responses that cannot be relayed yet; 20 MiB in the deployment.
         const val RESPONSE_MEMORY_SHARE = 8
@@ -501,8 +481,8 @@
         const val UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
 
-        // Queued requests of one entry; more than the largest site receives in a second.
-        const val QUEUE_MAX = 256
+        // Part of the heap for calls that wait; 10 MiB in the deployment.
+        const val WAITING_MEMORY_SHARE = 16
         const val TICK_MILLIS = 20L
 
         // Latency between regions is a few milliseconds; a connection attempt that takes this long
@@ -511,8 +491,5 @@
 
         const val SHORT_RETRY_MILLIS = 200L
         const val INTERNAL_ERROR = "internal error"
-
-        // Callers close a stream after two seconds without an event.
-        const val RESUME_WAIT_MILLIS = 1500L
     }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EntryExchange.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/EntryExchange.kt
@@ -56,8 +56,8 @@
     /** Records the arrival of [call]. */
     fun onRequest(call: Call) = meter.onRequest(
         call.service.id,
-        priority(call),
-        costMillis(call),
+        call.priority,
+        call.costMillis,
         isRepeated = !call.isOnTime,
         clocks.now().monotonicMillis
     )
@@ -65,8 +65,8 @@
     /** Records that [call] was refused. */
     fun onRefused(call: Call) = meter.onRefused(
         call.service.id,
-        priority(call),
-        costMillis(call),
+        call.priority,
+        call.costMillis,
         clocks.now().monotonicMillis
     )
 
@@ -88,9 +88,8 @@
             .onComplete(clocks.now().monotonicMillis - call.sentMillis)
     }
 
-    private fun priority(call: Call): Int = call.organisation?.priority ?: call.route.priority
-
-    private fun costMillis(call: Call): Double {
+    /** Time for which [call] is expected to occupy an engine, or a slot of another endpoint. */
+    fun costMillis(call: Call): Double {
         val engine = call.service.engine
             ?: return slotCosts.getOrPut(call.service.id) { SlotCost() }.meanMillis
         val tokens = call.metadata.promptTokens ?: engine.typicalPromptTokens
