--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/ObjectStoreService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/ObjectStoreService.kt
@@ -1,7 +1,8 @@
 /*
  * Stand-in for the users' platform store: objects by kind with one revision counter, listings and
- * long-polling watches. Single objects can be read, and written under the condition of their revision.
- * Outages, compaction of the change history and a return from an older copy can be simulated.
+ * long-polling watches. Single objects can be read, and written under the condition of their
+ * revision. Outages, compaction of the change history and a return from an older copy can be
+ * simulated.
  */
 package org.toucanspur.standin.platform
 
--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/OperationsService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/OperationsService.kt
@@ -5,7 +5,6 @@
 package org.toucanspur.standin.platform
 
 import com.sun.net.httpserver.HttpExchange
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonObject
@@ -93,8 +92,6 @@
             } else {
                 decode(Json.parseToJsonElement(text).jsonObject, holder, fencing)
             }
-        } catch (_: SerializationException) {
-            null
         } catch (_: IllegalArgumentException) {
             null
         } catch (_: NoSuchElementException) {
