--- a/bench/src/test/kotlin/org/toucanspur/bench/platform/DutyLeaseTest.kt
+++ b/bench/src/test/kotlin/org/toucanspur/bench/platform/DutyLeaseTest.kt
@@ -39,7 +39,7 @@
     private val http = NettyHttpClient(loop)
     private val duties = EntryDuties(
         VmId(name),
-        DutiesSection(api.address, "usage_report", 50, LEASE_MILLIS, 300, 5, 0.05, 10),
+        DutiesSection(api.address, "usage_report", 50.0, LEASE_MILLIS, 300, 5, 0.05, 10),
         loop,
         http,
         PlatformStore(http, store.address),
