--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/Call.kt
@@ -388,13 +388,7 @@
 
     private fun acceptResponse(response: HttpResponse, status: Int) {
         endpoint?.let { delegate.onResponseBegun(this, it) }
-        val observation =
-            if (status >= FIRST_SERVER_ERROR) {
-                EndpointSignal.SERVER_ERROR
-            } else {
-                EndpointSignal.SUCCEEDED
-            }
-        endpoint?.let { delegate.onEndpointObservation(this, it, observation) }
+        endpoint?.let { delegate.onEndpointObservation(this, it, acceptedSignal(status)) }
         if (isCommitted) {
             eventSplitter = EventStreamSplitter()
             return
@@ -415,11 +409,7 @@
     }
 
     private fun onNotExecuted(status: Int) {
-        val observation = when {
-            status != MISDIRECTED -> EndpointSignal.OVERLOADED
-            versionMin > 0 -> EndpointSignal.OTHER_VERSION
-            else -> EndpointSignal.ADDRESS_REUSED
-        }
+        val observation = notExecutedSignal(status, isVersionExpected = versionMin > 0)
         val reason = "endpoint answered $status without running it"
         failAttempt(observation, AttemptOutcome.TURNED_AWAY, reason)
     }
@@ -577,8 +567,6 @@
     private companion object {
         val SUCCESS = 200..299
         const val OK = 200
-        const val MISDIRECTED = 421
-        const val FIRST_SERVER_ERROR = 500
 
         // An endpoint may crash right after the first event.
         const val PROGRESS_EVENTS = 2
@@ -590,6 +578,18 @@
     }
 }
 
+private const val MISDIRECTED = 421
+private const val FIRST_SERVER_ERROR = 500
+
+private fun acceptedSignal(status: Int): EndpointSignal =
+    if (status >= FIRST_SERVER_ERROR) EndpointSignal.SERVER_ERROR else EndpointSignal.SUCCEEDED
+
+private fun notExecutedSignal(status: Int, isVersionExpected: Boolean): EndpointSignal = when {
+    status != MISDIRECTED -> EndpointSignal.OVERLOADED
+    isVersionExpected -> EndpointSignal.OTHER_VERSION
+    else -> EndpointSignal.ADDRESS_REUSED
+}
+
 private fun HttpResponse.mediaType(): String = headers().get(HttpHeaderNames.CONTENT_TYPE)
     .orEmpty()
     .substringBefore(';')
