--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/DeployedCluster.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/DeployedCluster.kt
@@ -22,7 +22,11 @@
 internal class DeployedCluster(
     entryCount: Int,
     agentCount: Int,
-    private val commandOf: (String, String, List<String>) -> List<String> = { _, _, command -> command }
+    private val commandOf: (
+        String,
+        String,
+        List<String>
+    ) -> List<String> = { _, _, command -> command }
 ) : AutoCloseable {
     private val directory = Files.createTempDirectory("toucanspur-cost")
     private val store = ObjectStoreService()
