--- a/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/duties/Duties.kt
@@ -14,7 +14,7 @@
 /** Permission of [holder] to act with [fencing] for at least [validMillis]. */
 data class DutyPermit(val holder: VmId, val fencing: FencingNumber, val validMillis: Long)
 
-/** The lease as part 2 and later duties see it; the daemon implements it. */
+/** The lease as a duty sees it; the daemon implements it. */
 interface DutyLease {
     /** Permission to act for at least [neededMillis]; null when this VM does not hold the lease. */
     fun permit(neededMillis: Long): DutyPermit?
