Spread the requests of many entries over engines with old reports

Cause: with 13 entries, load reports show the state of 200 to 525 ms ago. Each entry took the engine of the lowest predicted cost, so all took the same few.

Change: from six entries on, an entry adds to the reported load what the others are expected to have sent since, takes off what has ended, and chooses an engine with a probability in proportion to its spare capacity below the level that all reach within 25 ms. Prompts sent within the last pass count with their prefill. Up to five entries and without reports, endpoints are chosen as before.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Fleet.kt
@@ -59,7 +59,8 @@
     record: EndpointRecord,
     val firstSeenMillis: Long,
     random: Random = Random.Default,
-    serviceTimes: ServiceTimes = ServiceTimes()
+    serviceTimes: ServiceTimes = ServiceTimes(),
+    private val serviceArrivals: ServiceArrivals = ServiceArrivals()
 ) {
     /** Usual times of the endpoint's service. */
     val usualTimes: ServiceTimes = serviceTimes
@@ -67,6 +68,9 @@
     /** Learned speed of the endpoint. */
     val times = EndpointTimes(serviceTimes)
 
+    /** Requests of this entry and, as far as it expects them, of the others. */
+    val arrivals = EndpointArrivals()
+
     /** The latest endpoint record. */
     var record: EndpointRecord = record
         private set
@@ -171,6 +175,21 @@
         return maxOf(own, reported)
     }
 
+    /**
+     * Expected number of requests at an engine whose last report is fresh, including what other
+     * entries have sent since; null without such a report.
+     */
+    fun expectedOccupancy(engine: EngineTiming, nowMillis: Long): Double? {
+        val fresh = freshReport(nowMillis) ?: return null
+        return arrivals.expectedRequests(
+            fresh.running + fresh.waiting,
+            ownInFlight,
+            nowMillis - reportReceivedMillis + ENGINE_REPORT_AGE_MILLIS,
+            responseMillis(engine, minOf(fresh.running, engine.slots)),
+            nowMillis
+        )
+    }
+
     /** Whether the endpoint has sent data to this entry since [millis]. */
     fun hasSentSince(millis: Long): Boolean = heardMillis >= millis
 
@@ -198,6 +217,8 @@
         ownInFlight++
         inFlightChangeSinceReport++
         recentAttempts.add(nowMillis)
+        arrivals.onSend(nowMillis)
+        serviceArrivals.onSend(nowMillis)
         rateLimit.onSend(nowMillis)
     }
 
@@ -362,6 +383,7 @@
     private val isLearning: Boolean = true
 ) {
     private val serviceTimes = HashMap<ServiceId, ServiceTimes>()
+    private val serviceArrivals = HashMap<ServiceId, ServiceArrivals>()
     private val endpoints = LinkedHashMap<EndpointId, FleetEndpoint>()
     private val byService = HashMap<ServiceId, MutableList<FleetEndpoint>>()
     private val byHost = HashMap<String, MutableList<FleetEndpoint>>()
@@ -376,6 +398,10 @@
     fun usualTimes(service: ServiceId): ServiceTimes =
         serviceTimes.getOrPut(service) { ServiceTimes(isLearning) }
 
+    /** Requests that this entry sends to [service]. */
+    fun arrivals(service: ServiceId): ServiceArrivals =
+        serviceArrivals.getOrPut(service) { ServiceArrivals() }
+
     /** Endpoints whose address is on [host]. */
     fun on(host: String): List<FleetEndpoint> = byHost[host].orEmpty()
 
@@ -435,7 +461,13 @@
         }
         if (known != null) drop(record.id, nowMillis)
         val endpoint = recall(record, nowMillis)
-            ?: FleetEndpoint(record, nowMillis, random, usualTimes(record.service))
+            ?: FleetEndpoint(
+                record,
+                nowMillis,
+                random,
+                usualTimes(record.service),
+                arrivals(record.service)
+            )
         endpoints[record.id] = endpoint
         byService.getOrPut(record.service) { mutableListOf() } += endpoint
         addToHost(endpoint)
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -71,6 +71,8 @@
         entryCount: Int
     ): Placement {
         val selection = Selection(budgetMillis)
+        val sharing = sharingEntries(query.service, nowMillis, entryCount)
+        val shared = sharing?.let { SharedChoice(it) }
         var earliestMillis = Double.MAX_VALUE
         var firstOpensInMillis = Long.MAX_VALUE
         for (endpoint in fleet.of(query.service.id)) {
@@ -81,8 +83,9 @@
                 firstOpensInMillis = minOf(firstOpensInMillis, backoffMillis)
                 continue
             }
-            val prediction = predict(endpoint, query, nowMillis, entryCount)
-            val leastMillis = minOf(prediction.millis, prediction.unlearnedMillis)
+            val prediction = predict(endpoint, query, nowMillis, entryCount, sharing != null)
+            val leastMillis =
+                minOf(prediction.millis, prediction.unlearnedMillis) + prediction.reserveMillis
             earliestMillis = minOf(earliestMillis, leastMillis + opensInMillis)
             firstOpensInMillis = minOf(firstOpensInMillis, opensInMillis)
             if (opensInMillis > 0 ||
@@ -91,12 +94,20 @@
             ) {
                 continue
             }
-            val cost = prediction.millis + localityPenaltyMillis(endpoint) +
-                failureShare(endpoint, nowMillis) * FAILURE_PENALTY_MILLIS +
-                random.nextDouble() * JITTER_MILLIS
-            selection.offer(endpoint, prediction, cost)
+            val cost = prediction.millis +
+                failureShare(endpoint, nowMillis) * FAILURE_PENALTY_MILLIS
+            val distanceMillis = localityPenaltyMillis(endpoint)
+            if (shared == null) {
+                val jitterMillis = random.nextDouble() * JITTER_MILLIS
+                selection.offer(endpoint, prediction, cost + distanceMillis + jitterMillis)
+            } else {
+                val isWithin = prediction.millis + prediction.reserveMillis <= budgetMillis
+                shared.offer(prediction.sendTo(endpoint), cost, distanceMillis, isWithin)
+            }
         }
-        val selected = selection.result()
+        shared?.forecast(nowMillis)
+        val selected =
+            if (shared == null) selection.result() else shared.result(region, random, nowMillis)
         return when {
             selected != null -> selected
             earliestMillis < Double.MAX_VALUE -> Placement.Busy(earliestMillis, firstOpensInMillis)
@@ -126,7 +137,7 @@
         fun result(): Placement.Send? {
             val selected = endpoint ?: return null
             val predicted = prediction ?: return null
-            return Placement.Send(selected, predicted.millis, predicted.modelMillis)
+            return predicted.sendTo(selected)
         }
     }
 
@@ -134,8 +145,31 @@
     private class Prediction(
         val millis: Double,
         val unlearnedMillis: Double,
-        val modelMillis: Double
-    )
+        val modelMillis: Double,
+        /** Time that the budget must leave for requests of other entries beyond the expected. */
+        val reserveMillis: Double = 0.0
+    ) {
+        fun sendTo(endpoint: FleetEndpoint) = Placement.Send(endpoint, millis, modelMillis)
+    }
+
+    /** The entries whose requests have to be expected; null if choices need not be spread. */
+    private fun sharingEntries(
+        service: TrafficService,
+        nowMillis: Long,
+        entryCount: Int
+    ): SharingEntries? {
+        val engine = service.engine ?: return null
+        val endpoints = fleet.of(service.id)
+        val isShared = entryCount >= SHARING_ENTRIES_MIN &&
+            endpoints.any { it.freshReport(nowMillis) != null }
+        if (!isShared) return null
+        return SharingEntries(
+            fleet.arrivals(service.id),
+            entryCount,
+            endpoints.size,
+            requestDelayMillis(engine)
+        )
+    }
 
     private fun isEligible(
         endpoint: FleetEndpoint,
@@ -196,16 +230,20 @@
         endpoint: FleetEndpoint,
         query: PlacementQuery,
         nowMillis: Long,
-        entryCount: Int
+        entryCount: Int,
+        isShared: Boolean
     ): Prediction {
+        val engine = query.service.engine
+        if (isShared && engine != null) {
+            endpoint.expectedOccupancy(engine, nowMillis)?.let {
+                return predictShared(endpoint, engine, query.promptTokens, it, nowMillis)
+            }
+        }
         val occupancy = endpoint.occupancy(nowMillis, entryCount)
         val slots = maxOf(1, endpoint.record.slots)
-        val engine = query.service.engine
-        val learned = endpoint.times.slowdown(nowMillis)
-        val limit = endpoint.times.concurrencyLimit(slots, nowMillis)
-        val beyond = if (limit < slots) occupancy + 1 - limit else 0.0
-        val loadFactor = if (beyond > 0) 1 + maxOf(BEYOND_LIMIT_SHARE, beyond / limit) else 1.0
         if (engine == null) {
+            val learned = endpoint.times.slowdown(nowMillis)
+            val loadFactor = loadFactor(endpoint, occupancy.toDouble(), nowMillis)
             val calls = 1 + maxOf(0, occupancy - slots + 1) / slots.toDouble()
             val usual = endpoint.usualTimes.callMillis * calls
             return Prediction(
@@ -214,22 +252,59 @@
                 usual
             )
         }
-        val reported =
-            (endpoint.freshReport(nowMillis)?.pacePercent ?: PERCENT) / PERCENT.toDouble()
         // Other entries may fill the free slots in the report that are not allotted to this entry.
         val unreportedArrivals =
             if (endpoint.ownFreeSlots(nowMillis) > 0) 0.0 else UNREPORTED_ARRIVALS
         val model =
             predictedFirstEventMillis(engine, occupancy, query.promptTokens, unreportedArrivals)
+        return engineTimes(endpoint, model, occupancy.toDouble(), 0.0, nowMillis)
+    }
+
+    // Prediction at the load that is expected at the endpoint, with the requests of other entries.
+    private fun predictShared(
+        endpoint: FleetEndpoint,
+        engine: EngineTiming,
+        promptTokens: Int,
+        occupancy: Double,
+        nowMillis: Long
+    ): Prediction {
+        val passMillis = passMillis(engine, minOf(occupancy, engine.slots.toDouble()))
+        val recent = endpoint.arrivals.ownSince(nowMillis - passMillis.toLong())
+        // The engine reads the prompts that arrive within a pass before their first events.
+        val model = predictedFirstEventMillis(engine, occupancy, promptTokens, 0.0) +
+            recent * prefillMillis(engine, engine.typicalPromptTokens)
+        val reserved = (occupancy - engine.slots + 1 + RESERVED_ARRIVALS)
+            .coerceIn(0.0, RESERVED_ARRIVALS) * completionIntervalMillis(engine)
+        return engineTimes(endpoint, model, occupancy, reserved, nowMillis)
+    }
+
+    private fun engineTimes(
+        endpoint: FleetEndpoint,
+        model: Double,
+        occupancy: Double,
+        reserveMillis: Double,
+        nowMillis: Long
+    ): Prediction {
+        val reported =
+            (endpoint.freshReport(nowMillis)?.pacePercent ?: PERCENT) / PERCENT.toDouble()
+        val learned = endpoint.times.slowdown(nowMillis)
         // A report of normal speed does not outweigh slow responses.
         val slowdown = if (reported > 1.0) maxOf(reported, learned) else learned
         return Prediction(
-            slowdown * model * loadFactor,
+            slowdown * model * loadFactor(endpoint, occupancy, nowMillis),
             maxOf(1.0, reported) * model,
-            model
+            model,
+            reserveMillis
         )
     }
 
+    private fun loadFactor(endpoint: FleetEndpoint, occupancy: Double, nowMillis: Long): Double {
+        val slots = maxOf(1, endpoint.record.slots)
+        val limit = endpoint.times.concurrencyLimit(slots, nowMillis)
+        val beyond = if (limit < slots) occupancy + 1 - limit else 0.0
+        return if (beyond > 0) 1 + maxOf(BEYOND_LIMIT_SHARE, beyond / limit) else 1.0
+    }
+
     private fun failureShare(endpoint: FleetEndpoint, nowMillis: Long): Double =
         if (endpoint.isSilent(nowMillis)) 1.0 else endpoint.score(nowMillis)
 
@@ -261,5 +336,13 @@
         // Other entries fill most of their allotted slots before the next report. With a lower
         // value, one request in nine waits for a slot under overload (OverloadSimulationTest).
         const val UNREPORTED_ARRIVALS = 3.0
+
+        // Up to five entries get reports at least every 125 ms, and see each other's requests in
+        // them before an engine gets another one.
+        const val SHARING_ENTRIES_MIN = 6
+
+        // The forecast is an average. Without a reserve, engines whose slots are nearly all in use
+        // get requests that wait too long; with 2, slots stay free at 95% of the capacity.
+        const val RESERVED_ARRIVALS = 1.0
     }
 }
