Space the calls of many entries to the store within the bounds

Cause: while endpoint records change, each entry called the store about six times a second: for every change of the endpoints, 250 ms apart, and twice in 1.85 s to check the evacuations.

Change: StoreCallPlan (core) sets the pause after a change of the endpoints (250 ms x entries / 5, at most 35% of the bound on drains, and 500 ms while requests wait for a service without weights) and the wait of the next call for endpoints and evacuations, which then ends before a check is due. Nothing changes with up to five entries, or while the store does not change. A check now also ends a call that is silent 300 ms beyond its end. The stand-in store counts calls, and `bin/measure cost` prints them and can change endpoint records meanwhile.

--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/CostMeasurement.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/CostMeasurement.kt
@@ -1,11 +1,14 @@
 /*
  * Measures the processor time and memory of the deployed processes without load: entries and agents
  * run as `deploy/system.toml` says, between stand-ins, through a start, an idle time and the
- * transfer of a weight version. Requires `bin/build-deploy`.
+ * transfer of a weight version. Endpoint records are written again `--changes-per-second` times a
+ * second, and the calls to the store are counted. Requires `bin/build-deploy`.
  */
 package org.toucanspur.bench.measure
 
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.buildJsonObject
@@ -19,7 +22,10 @@
 private const val IDLE_SECONDS = 20
 private const val TRANSFER_SECONDS = 15
 
-/** `cost`: processor time by role, phase and kind of thread, and resident memory. */
+/**
+ * `cost`: processor time by role, phase and kind of thread, resident memory, and calls to the store
+ * by phase, kind of object and of call.
+ */
 internal class CostMeasurement : Measurement {
     override val name = "cost"
 
@@ -30,20 +36,36 @@
         )
         return cluster.use {
             cluster.start()
-            buildJsonObject {
-                put("entries", cluster.entries.size)
-                put("agents", cluster.agents.size)
-                putPhase("start", cluster, options.int("start-seconds", START_SECONDS))
-                putPhase("idle", cluster, options.int("idle-seconds", IDLE_SECONDS))
-                cluster.setTargetVersion(2)
-                putPhase("transfer", cluster, options.int("transfer-seconds", TRANSFER_SECONDS))
-                put("loadedEngines", cluster.loadedCount(2))
-                put("entryKib", cluster.entries.map { it.residentKib() }.average().toLong())
-                put("agentKib", cluster.agents.map { it.residentKib() }.average().toLong())
+            coroutineScope {
+                val changes =
+                    launch { changeRecords(cluster, options.int("changes-per-second", 0)) }
+                measure(cluster, options).also { changes.cancel() }
             }
         }
     }
 
+    private suspend fun changeRecords(cluster: DeployedCluster, perSecond: Int) {
+        if (perSecond == 0) return
+        var index = 0
+        while (true) {
+            delay(MILLIS_PER_SECOND / perSecond)
+            cluster.writeEndpoint(index++ % cluster.agents.size)
+        }
+    }
+
+    private suspend fun measure(cluster: DeployedCluster, options: Options): JsonObject =
+        buildJsonObject {
+            put("entries", cluster.entries.size)
+            put("agents", cluster.agents.size)
+            putPhase("start", cluster, options.int("start-seconds", START_SECONDS))
+            putPhase("idle", cluster, options.int("idle-seconds", IDLE_SECONDS))
+            cluster.setTargetVersion(2)
+            putPhase("transfer", cluster, options.int("transfer-seconds", TRANSFER_SECONDS))
+            put("loadedEngines", cluster.loadedCount(2))
+            put("entryKib", cluster.entries.map { it.residentKib() }.average().toLong())
+            put("agentKib", cluster.agents.map { it.residentKib() }.average().toLong())
+        }
+
     private suspend fun JsonObjectBuilder.putPhase(
         phase: String,
         cluster: DeployedCluster,
@@ -51,6 +73,7 @@
     ) {
         val roles = mapOf("entry" to cluster.entries, "agent" to cluster.agents)
         val before = roles.mapValues { (_, processes) -> processes.map { it.threadMillis() } }
+        val callsBefore = cluster.storeCalls()
         delay(seconds * MILLIS_PER_SECOND)
         putJsonObject(phase) {
             put("seconds", seconds)
@@ -64,6 +87,11 @@
                     }
                 }
             }
+            putJsonObject("storeCalls") {
+                cluster.storeCalls().forEach { (call, count) ->
+                    put(call, count - (callsBefore[call] ?: 0))
+                }
+            }
         }
     }
 }
--- a/bench/src/main/kotlin/org/toucanspur/bench/measure/DeployedCluster.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/measure/DeployedCluster.kt
@@ -55,10 +55,7 @@
         val configuration =
             ConfigurationDocument(1, listOf(route), MODEL, origin.address, "acme", listOf("k"))
         store.put("config", "main", configuration.json())
-        agentHosts.zip(engines).forEachIndexed { index, (host, engine) ->
-            val content = endpointDocument(ENGINE_SERVICE, "$host:8000", "ready", engine)
-            store.put("servers", "e$index", content)
-        }
+        agentHosts.indices.forEach(::writeEndpoint)
         setTargetVersion(1)
         entries = entryHosts.map { startProcess("entry", it, "") }
         agents = agentHosts.zip(engines).map { (host, engine) ->
@@ -80,6 +77,16 @@
         "$role-$host"
     )
 
+    /** Writes the record of an endpoint again. */
+    fun writeEndpoint(index: Int) = store.put(
+        "servers",
+        "e$index",
+        endpointDocument(ENGINE_SERVICE, "${agentHosts[index]}:8000", "ready", engines[index])
+    )
+
+    /** Numbers of calls to the store so far, by kind of object and of call. */
+    fun storeCalls(): Map<String, Int> = store.callCounts()
+
     /** Names [version] as the weight version to load. */
     fun setTargetVersion(version: Long) =
         store.put("versions", MODEL, """{"model":"$MODEL","version":$version}""")
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/StoreFreshness.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/StoreFreshness.kt
@@ -19,6 +19,8 @@
     private var respondedAt: ClockReading? = null
     private var newestEra: Long? = null
     private var previousEraRespondedAt: ClockReading? = null
+    private var newestRevision: Long? = null
+    private var changedAt: ClockReading? = null
 
     /** Freshness of [kind]. */
     operator fun get(kind: ObjectKind): Freshness = evidence.getValue(kind).freshness
@@ -37,6 +39,12 @@
             evidence.values.forEach { it.revision = Long.MIN_VALUE }
             previousEraRespondedAt = respondedAt
             newestEra = era
+            newestRevision = null
+        }
+        val newest = newestRevision
+        if (newest == null || revision > newest) {
+            newestRevision = revision
+            if (newest != null) changedAt = at
         }
         confirmed.revision = revision
         confirmed.freshness.renew(at)
@@ -45,6 +53,10 @@
         if (previous == null || at.monotonicMillis > previous.monotonicMillis) respondedAt = at
     }
 
+    /** Whether the store had a higher revision than before within [periodMillis] before [now]. */
+    fun isChanging(now: ClockReading, periodMillis: Long): Boolean =
+        changedAt?.let { now.ageMillis(it) < periodMillis } ?: false
+
     /** Whether no kind was confirmed longer than [maxAgeMillis] before [now]. */
     fun areAllWithin(maxAgeMillis: Long, now: ClockReading): Boolean = evidence.values.all { kind ->
         kind.freshness.ageMillis(now).let { it != null && it < maxAgeMillis }
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/StoreFreshnessTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/StoreFreshnessTest.kt
@@ -68,6 +68,15 @@
                 silent.takeDueForCheck(at(9000)).shouldBeEmpty()
             }
         }
+        describe("a store") {
+            it("is changing while its revision has risen lately, and not after it returned") {
+                val freshness = freshness()
+                freshness.isChanging(at(5009), 5000) shouldBe true
+                freshness.isChanging(at(5010), 5000) shouldBe false
+                freshness.onConfirmed(ObjectKind.CONFIGURATION, 3, at(6000), era = 2)
+                freshness.isChanging(at(6000), 5000) shouldBe false
+            }
+        }
         describe("a kind that was never listed") {
             it("is neither fresh nor checked") {
                 val freshness = freshness()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -139,6 +139,10 @@
         }
     }
 
+    /** Whether calls wait for a service whose endpoints serve without loading weights first. */
+    fun isEndpointAwaited(): Boolean = state.configuration?.services.orEmpty().values
+        .any { it.models.isEmpty() && queue.sizeOf(it.id) > 0 }
+
     private fun sendOrQueue(call: Call) {
         val now = monotonicMillis()
         crashes.refusal(call, now)?.let {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -173,9 +173,15 @@
             loadSubscriber.sendQueries()
             dispatcher.onLoadChanged()
         }
-        val pacing = WatchPacing(BATCH_DELAY_MILLIS, backoffMaxMillis = BACKOFF_MAX_MILLIS)
+        val pacing = PlannedPacing(
+            ObjectKind.ENDPOINTS,
+            state,
+            dispatcher::isEndpointAwaited,
+            BACKOFF_MAX_MILLIS
+        )
         watches += startWatch(ObjectKind.ENDPOINTS, WATCH_MILLIS, endpoints, pacing)
-        watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, evacuations)
+        val evacuationPacing = PlannedPacing(ObjectKind.EVACUATIONS, state)
+        watches += startWatch(ObjectKind.EVACUATIONS, WATCH_MILLIS, evacuations, evacuationPacing)
         watches += startWatch(
             ObjectKind.WEIGHT_VERSIONS,
             VERSION_WATCH_MILLIS,
@@ -256,7 +262,6 @@
         // A version that arrives after a failed watch is assumed to be as old as that watch.
         const val VERSION_WATCH_MILLIS = 2000L
 
-        // Well below the shortest time after which a draining endpoint must get no more requests.
         const val BATCH_DELAY_MILLIS = 250L
         const val FRESHNESS_CHECK_MILLIS = 100L
         const val PROBE_REMOVAL_MILLIS = 3200L
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -19,6 +19,7 @@
 import org.toucanspur.core.gateway.RequestPlacer
 import org.toucanspur.core.gateway.RetryBudgetLimits
 import org.toucanspur.core.gateway.RetryBudgetShare
+import org.toucanspur.core.gateway.StoreCallPlan
 import org.toucanspur.core.gateway.StoreFreshness
 import org.toucanspur.core.gateway.StoreRestores
 import org.toucanspur.core.gateway.TrafficConfiguration
@@ -138,6 +139,12 @@
     private fun evidenceLimitMillis(boundMillis: Int): Long =
         maxOf(minOf(boundMillis.toLong(), evidenceMaxAgeMillis), LIMIT_MIN_MILLIS)
 
+    /** Calls to the store for the endpoints and the evacuations. */
+    val storeCallPlan = StoreCallPlan(
+        settings.bounds.drainMillis.toLong(),
+        evidenceLimitMillis(settings.bounds.evacuationMillis)
+    )
+
     /** Freshness of the configuration. */
     val freshness: Freshness get() = storeFreshness[ObjectKind.CONFIGURATION]
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -67,11 +67,16 @@
  * [burstDelayMillis] until they stop changing, or never if that is null. After failures the delay
  * grows to [backoffMaxMillis] on average.
  */
-class WatchPacing(
-    val batchDelayMillis: Long = 0,
+open class WatchPacing(
+    batchDelayMillis: Long = 0,
     val burstDelayMillis: Long? = null,
     val backoffMaxMillis: Long = 800
-)
+) {
+    open val batchDelayMillis: Long = batchDelayMillis
+
+    /** Wait of the next call in place of [longestMillis]; the kind was known [ageMillis] ago. */
+    open fun waitMillis(longestMillis: Long, ageMillis: Long): Long = longestMillis
+}
 
 /**
  * Watches objects of [kind]; each watch call waits for up to [waitMillis], with [pacing] after
@@ -100,10 +105,12 @@
     private val checks = Channel<Unit>(Channel.CONFLATED)
     private var isCheckDue = false
     private var isArriving = false
+    private var upToDateAt: ClockReading? = null
 
     /**
      * Ends the wait of the current call; the next one, on a new connection, does not wait. A call
-     * whose response arrives, or that ends soon by itself, is not ended.
+     * whose response arrives is not ended, and one that ends soon by itself only if it is silent
+     * beyond its end.
      */
     fun check() {
         checks.trySend(Unit)
@@ -128,7 +135,10 @@
 
     private fun callWaitMillis(): Long = when {
         revision == null || isBurst -> 0
-        outage == null && !isCheckDue -> waitMillis
+        outage == null && !isCheckDue -> {
+            val ageMillis = upToDateAt?.let { clocks.now().ageMillis(it) } ?: 0
+            minOf(waitMillis, pacing.waitMillis(waitMillis, ageMillis))
+        }
         else -> CHECK_WAIT_MILLIS
     }
 
@@ -160,10 +170,10 @@
     private suspend fun watch(afterRevision: Long, waitMillis: Long): FeedFailure? {
         val at = clocks.now()
         // Limits the whole call by this VM's own clock too, which may have been paused.
-        val endsSoonMillis = at.monotonicMillis + waitMillis - CHECK_LEAD_MILLIS
+        val endMillis = at.monotonicMillis + waitMillis
         val limitMillis = waitMillis + WATCH_TIMEOUT_MARGIN_MILLIS + feed.transferMaxMillis
         val result = withTimeoutOrNull(limitMillis) {
-            untilCheck(endsSoonMillis) {
+            untilCheck(endMillis) {
                 val call = WatchCall(kind, afterRevision, waitMillis, changesMaxBytes()) {
                     isArriving = true
                 }
@@ -191,9 +201,10 @@
         return null
     }
 
-    // Returns no changes if a check is requested while [call] waits, until [endsSoonMillis].
+    // Returns no changes if a check is requested while [call] waits. Shortly before its end at
+    // [endMillis] it may still respond in time.
     private suspend fun untilCheck(
-        endsSoonMillis: Long,
+        endMillis: Long,
         call: suspend () -> Result<ObjectChanges, FeedFailure>
     ): Result<ObjectChanges?, FeedFailure> = coroutineScope {
         isArriving = false
@@ -205,8 +216,11 @@
         select<Result<ObjectChanges?, FeedFailure>> {
             pending.onAwait { it }
             checks.onReceive {
-                val isEnding = clocks.now().monotonicMillis >= endsSoonMillis
-                if (isArriving || isEnding) return@onReceive pending.await()
+                val leftMillis = endMillis - clocks.now().monotonicMillis
+                if (leftMillis <= CHECK_LEAD_MILLIS) {
+                    withTimeoutOrNull(leftMillis + RESPONSE_MAX_MILLIS) { pending.join() }
+                }
+                if (isArriving || pending.isCompleted) return@onReceive pending.await()
                 pending.cancel()
                 isCheckDue = true
                 Ok(null)
@@ -242,6 +256,7 @@
     }
 
     private fun onUpToDate(at: ClockReading) {
+        upToDateAt = at
         progress.onUpToDate(at)
         listener.onUpToDate(checkNotNull(revision), at, era)
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -435,6 +435,44 @@
                     feed.waitsMillis shouldBe listOf(WAIT_MILLIS, WAIT_MILLIS)
                 }
             }
+            // Guards against a connection that has gone silent in the last second of a wait.
+            it("ends a silent call for a check 300 ms after it should have ended by itself") {
+                runTest {
+                    val silent: suspend () -> Result<ObjectChanges, FeedFailure> =
+                        { awaitCancellation() }
+                    val feed = ScriptedFeed(unchanged, silent, changed, unchanged)
+                    val job = backgroundScope.launch { runChecked(feed, WAIT_MILLIS, 1300) }
+                    advanceTimeBy(1900)
+                    feed.waitsMillis shouldBe listOf(WAIT_MILLIS, WAIT_MILLIS)
+                    job.cancel()
+                    val later = ScriptedFeed(unchanged, silent, changed, unchanged)
+                    runChecked(later, WAIT_MILLIS, checkMillis = 1900)
+                        .callbacks shouldBe listOf("listing 1", "changes 1")
+                    later.waitsMillis.take(3) shouldBe listOf(WAIT_MILLIS, WAIT_MILLIS, 1)
+                }
+            }
+            it("waits as long as its pacing says, by the age of what is known") {
+                runTest {
+                    val feed = ScriptedFeed(changed, unchanged)
+                    val pacing = object : WatchPacing(batchDelayMillis = 700) {
+                        override fun waitMillis(longestMillis: Long, ageMillis: Long) =
+                            900 - ageMillis
+                    }
+                    val watcher = ObjectWatcher(
+                        feed,
+                        ObjectKind.ENDPOINTS,
+                        LONG_WAIT_MILLIS,
+                        { ClockReading(testScheduler.currentTime, testScheduler.currentTime) },
+                        Random(1),
+                        RecordingListener(),
+                        pacing
+                    )
+                    val job = backgroundScope.launch { watcher.run() }
+                    advanceTimeBy(750)
+                    feed.waitsMillis shouldBe listOf(900L, 200L)
+                    job.cancel()
+                }
+            }
             it("times out when the store does not respond") {
                 runTest {
                     val unresponsive: suspend () -> Result<ObjectChanges, FeedFailure> =
--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/ObjectStoreService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/ObjectStoreService.kt
@@ -7,6 +7,7 @@
 package org.toucanspur.standin.platform
 
 import com.sun.net.httpserver.HttpExchange
+import java.util.TreeMap
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 import kotlinx.serialization.json.Json
@@ -36,6 +37,7 @@
     private var firstRevision = 1L
     private var era = 1L
     private var copy: Copy? = null
+    private val callCounts = TreeMap<String, Int>()
 
     /** Whether all calls are refused with status 503. */
     @Volatile
@@ -46,6 +48,21 @@
         listen()
     }
 
+    /** Numbers of calls so far, by kind of object and call; a check is a watch without a wait. */
+    fun callCounts(): Map<String, Int> = lock.withLock { TreeMap(callCounts) }
+
+    private fun count(method: String, kind: String, name: String?, query: Map<String, String>) {
+        val call = when {
+            method != "GET" -> method
+            name != null -> "read"
+            "watch" !in query -> "list"
+            (query["wait-ms"]?.toLong() ?: 0) <= 1 -> "check"
+            else -> "watch"
+        }
+        val suffix = if (query["serializable"] == "1") " stale" else ""
+        lock.withLock { callCounts.merge("$kind $call$suffix", 1, Int::plus) }
+    }
+
     /** Creates or replaces an object; [content] is JSON. */
     fun put(kind: String, name: String, content: String) = change(kind, name, isRemoved = false) {
         it[name] = Content(content, revision)
@@ -101,6 +118,7 @@
         val query = exchange.requestURI.query.orEmpty().split('&')
             .filter { '=' in it }
             .associate { it.substringBefore('=') to it.substringAfter('=') }
+        count(exchange.requestMethod, kind, name, query)
         val watch = query["watch"]?.toLong()
         when {
             isDown -> respond(exchange, UNAVAILABLE, "{}")
