Count a known crash before the next request is judged

Cause: CrashSuspects counted lost attempts only in the dispatcher's tick of 20 ms. A request that arrived between the loss of an attempt, whose endpoint was already known to have restarted, and the next tick was judged without that crash and sent to another endpoint. In CrashingRequestTest the restart is known before the reset; when the eight sound requests took less than a tick after the third crash, the fourth request got 502 "Connection reset". Change: CrashObserver.isRefused confirms the lost attempts first, if there are any. Only the time of counting changes. The new test fails without the change at a tick of 20 ms (one run), and passes with it. CrashingRequestTest and the CrashSuspects tests pass (one run).

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CrashObserver.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CrashObserver.kt
@@ -78,12 +78,18 @@
         }
     }
 
-    /** Whether requests like [call] crash endpoints. */
-    fun isRefused(call: Call, nowMillis: Long): Boolean = suspects.size > 0 &&
-        (
-            suspects.isRefused(call.service.id, call.fingerprints.all, nowMillis) ||
-                suspects.isHeldBack(call.fingerprints.own, nowMillis)
-            )
+    /**
+     * Whether requests like [call] crash endpoints. Crashes that are known by now count: until the
+     * next tick, further requests would crash more endpoints.
+     */
+    fun isRefused(call: Call, nowMillis: Long): Boolean {
+        if (suspects.isConfirming) confirm(nowMillis)
+        return suspects.size > 0 &&
+            (
+                suspects.isRefused(call.service.id, call.fingerprints.all, nowMillis) ||
+                    suspects.isHeldBack(call.fingerprints.own, nowMillis)
+                )
+    }
 
     private companion object {
         const val BAD_GATEWAY = 502
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CrashingRequestTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/CrashingRequestTest.kt
@@ -46,6 +46,17 @@
                     endpoints.crashes.get() shouldBe before
                 }
 
+            // Guards against a crash that is counted only after the next request has been sent.
+            it("is refused by a crash that was known before the request arrived") {
+                CrashingEndpoints { _, _ -> }.use { endpoints ->
+                    repeat(5) { round ->
+                        val path = "/once/$round"
+                        repeat(3) { endpoints.gateway.call(path, body = DEADLY) }
+                        endpoints.gateway.call(path, body = DEADLY) shouldContain "503"
+                        endpoints.crashes.get() shouldBe (round + 1) * 3
+                    }
+                }
+            }
             it("is refused when the endpoints crash before they respond") {
                 crashesOf("/once/") { _, _ -> }
             }
