Bound the memory of normal requests that run

Cause: CallerMemory admitted every request of up to 128 KiB to run, and what runs is not closed. 1,800 connections (descriptors of the deployment) with 128 KiB each hold 225 MiB of a heap of 160 MiB. Change: a normal request begins to run only while those that run hold at most twice the budget (half of the heap by default); otherwise it gets 503. One request always may. CallerCrowdTest was not run.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CallerMemory.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CallerMemory.kt
@@ -76,10 +76,14 @@
 
     /**
      * Whether a request of [bytes] may begin to run. Requests that run are not closed, so large
-     * ones must leave half of the budget to those that arrive. One large request always may.
+     * ones must leave half of the budget to those that arrive. Normal ones may exceed the budget,
+     * but not without limit. One request always may.
      */
-    fun admits(bytes: Long): Boolean =
-        bytes <= NORMAL_BYTES || runningBytes == 0L || runningBytes + bytes <= maxBytes / 2
+    fun admits(bytes: Long): Boolean {
+        val runningMaxBytes =
+            if (bytes <= NORMAL_BYTES) maxBytes * NORMAL_RUNNING_BUDGETS else maxBytes / 2
+        return runningBytes == 0L || runningBytes + bytes <= runningMaxBytes
+    }
 
     /** The next connection to close; null while the budget and the shares of groups are kept. */
     fun nextToClose(nowMillis: Long): H? {
@@ -101,6 +105,10 @@
         /** A normal request is not larger than this. */
         const val NORMAL_BYTES = 128L * 1024
 
+        // By default half of the heap. With the descriptors of the deployment, 1,800 connections
+        // with 128 KiB each would need 225 MiB of a heap of 160 MiB.
+        private const val NORMAL_RUNNING_BUDGETS = 2
+
         // The callers at one path, or with one key or address, get at most this part of the budget.
         private const val GROUP_SHARE = 2
 
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/CallerMemoryTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/CallerMemoryTest.kt
@@ -94,6 +94,16 @@
                 memory.admits(200_000) shouldBe false
                 memory.admits(CallerMemory.NORMAL_BYTES) shouldBe true
             }
+            // Guards against normal requests that exhaust the heap, as none of them is closed.
+            it("hold twice the budget at most, if all of them are normal ones") {
+                val memory = memory()
+                var count = 0
+                while (count < 1800 && memory.admits(CallerMemory.NORMAL_BYTES)) {
+                    memory.add("${count++}", holding(CallerMemory.NORMAL_BYTES, 0, false))
+                }
+                memory.runningBytes shouldBe 15 * CallerMemory.NORMAL_BYTES
+                memory.nextToClose(NOW) shouldBe null
+            }
         }
         describe("a transfer") {
             it("does not progress by a few bytes at a time") {
