Let a placement report why each endpoint is chosen or not

Change: RequestPlacer.place takes an optional PlacementTrace. The checks return an EndpointExclusion in place of a boolean, in the same order; without a trace nothing is allocated for it. Decisions are unchanged. The time of a placement was not measured.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -62,39 +62,59 @@
     /**
      * Selects an endpoint whose predicted time to the first byte is within [budgetMillis]. If the
      * learned speeds leave none, they only order the endpoints that are within it by the model: a
-     * late response is better than none, and the learned values may be out of date.
+     * late response is better than none, and the learned values may be out of date. The reasons
+     * are passed to [trace].
      */
     fun place(
         query: PlacementQuery,
         budgetMillis: Double,
         nowMillis: Long,
-        entryCount: Int
+        entryCount: Int,
+        trace: PlacementTrace? = null
     ): Placement {
+        trace?.onBudget(budgetMillis)
         val selection = Selection(budgetMillis)
         var earliestMillis = Double.MAX_VALUE
         var firstOpensInMillis = Long.MAX_VALUE
         for (endpoint in fleet.of(query.service.id)) {
-            if (!isEligible(endpoint, query, nowMillis)) continue
+            val unsuitable = unsuitability(endpoint, query, nowMillis)
+            if (unsuitable != null) {
+                trace?.onEndpoint(EndpointVerdict(endpoint, unsuitable))
+                continue
+            }
             val opensInMillis = endpoint.opensInMillis(entryCount, nowMillis)
             if (endpoint.isExcluded(nowMillis)) {
                 val backoffMillis = endpoint.requestedBackoffMillis(nowMillis)
                 firstOpensInMillis = minOf(firstOpensInMillis, backoffMillis)
+                trace?.onEndpoint(EndpointVerdict(endpoint, EndpointExclusion.BACKING_OFF))
                 continue
             }
             val prediction = predict(endpoint, query, nowMillis, entryCount)
             val leastMillis = minOf(prediction.millis, prediction.unlearnedMillis)
             earliestMillis = minOf(earliestMillis, leastMillis + opensInMillis)
             firstOpensInMillis = minOf(firstOpensInMillis, opensInMillis)
-            if (opensInMillis > 0 ||
-                leastMillis > budgetMillis ||
-                !hasCapacity(endpoint, query, nowMillis, entryCount)
-            ) {
+            val exclusion = when {
+                opensInMillis > 0 -> EndpointExclusion.RATE
+                leastMillis > budgetMillis -> EndpointExclusion.LATE
+                else -> capacityExclusion(endpoint, query, nowMillis, entryCount)
+            }
+            if (exclusion != null) {
+                trace?.onEndpoint(EndpointVerdict(endpoint, exclusion, prediction.millis))
                 continue
             }
             val cost = prediction.millis + localityPenaltyMillis(endpoint) +
                 failureShare(endpoint, nowMillis) * FAILURE_PENALTY_MILLIS +
                 random.nextDouble() * JITTER_MILLIS
             selection.offer(endpoint, prediction, cost)
+            trace?.onEndpoint(
+                EndpointVerdict(
+                    endpoint,
+                    null,
+                    prediction.millis,
+                    cost,
+                    prediction.millis <= budgetMillis
+                )
+            )
         }
         val selected = selection.result()
         return when {
@@ -137,22 +157,27 @@
         val modelMillis: Double
     )
 
-    private fun isEligible(
+    // Why the endpoint cannot serve the request, whatever its load; null if it can.
+    private fun unsuitability(
         endpoint: FleetEndpoint,
         query: PlacementQuery,
         nowMillis: Long
-    ): Boolean {
+    ): EndpointExclusion? {
         val record = endpoint.record
-        return endpoint.isAccepting &&
-            !endpoint.isSuperseded &&
-            record.zone !in query.excludedZones &&
-            record.id !in query.tried &&
-            (query.regions == null || record.region in query.regions) &&
-            hasWeights(endpoint, query, nowMillis) &&
-            !endpoint.isPaused(nowMillis) &&
+        return when {
+            !endpoint.isAccepting -> EndpointExclusion.NOT_ACCEPTING
+            endpoint.isSuperseded -> EndpointExclusion.SUPERSEDED
+            record.zone in query.excludedZones -> EndpointExclusion.ZONE_EVACUATED
+            record.id in query.tried -> EndpointExclusion.TRIED
+            query.regions != null && record.region !in query.regions -> EndpointExclusion.REGION
+            !hasWeights(endpoint, query, nowMillis) -> EndpointExclusion.WEIGHTS
+            endpoint.isPaused(nowMillis) -> EndpointExclusion.LOADING
             // The agent alone may be down, so one request may show that the endpoint works.
-            !(endpoint.ownInFlight > 0 && endpoint.isSilent(nowMillis)) &&
-            !(query.mustFinish && isInterruptedByLoad(endpoint, query, nowMillis))
+            endpoint.ownInFlight > 0 && endpoint.isSilent(nowMillis) -> EndpointExclusion.SILENT
+            query.mustFinish && isInterruptedByLoad(endpoint, query, nowMillis) ->
+                EndpointExclusion.LOAD_SOON
+            else -> null
+        }
     }
 
     private fun isInterruptedByLoad(
@@ -177,19 +202,20 @@
             loaded >= if (isSlow) query.slowPathVersionMin else query.versionMin
     }
 
-    private fun hasCapacity(
+    private fun capacityExclusion(
         endpoint: FleetEndpoint,
         query: PlacementQuery,
         nowMillis: Long,
         entryCount: Int
-    ): Boolean {
+    ): EndpointExclusion? {
         val service = query.service
         if (endpoint.ownInFlight >= maxOf(1, service.connectionsMax / maxOf(1, entryCount))) {
-            return false
+            return EndpointExclusion.CONNECTIONS
         }
         val coldRate = service.coldRequestsPerSecond
         val coldRateLimit = if (coldRate > 0) coldRate + coldAllowance / 2 else 0.0
-        return endpoint.isWithinColdRate(coldRateLimit, entryCount, nowMillis)
+        val isWithin = endpoint.isWithinColdRate(coldRateLimit, entryCount, nowMillis)
+        return if (isWithin) null else EndpointExclusion.COLD
     }
 
     private fun predict(
