Ask for admission under overload and for room to wait without effect

Change: OverloadAdmission.admits charges the credit only if isRecorded, the default; WaitingCalls.hasRoom is the condition of add.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/OverloadAdmission.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/OverloadAdmission.kt
@@ -108,9 +108,14 @@
     /**
      * Whether a request of [priority] and [organisation] is admitted. One that was refused before
      * ([isRepeated]) is charged for in the room that the others leave; if its kind is served in
-     * full, it is admitted.
+     * full, it is admitted. Only if [isRecorded], it is charged for.
      */
-    fun admits(priority: Int, organisation: OrganisationId?, isRepeated: Boolean): Boolean {
+    fun admits(
+        priority: Int,
+        organisation: OrganisationId?,
+        isRepeated: Boolean,
+        isRecorded: Boolean = true
+    ): Boolean {
         val full = share(priority)
         if (full >= FULL_SHARE) return true
         val room = roomShare()
@@ -118,7 +123,7 @@
         val key = CreditKey(priority, organisation, isRepeated)
         val credit = (credits[key] ?: initialCredit(key)) + share
         val isAdmitted = credit >= 1
-        credits[key] = if (isAdmitted) credit - 1 else credit
+        if (isRecorded) credits[key] = if (isAdmitted) credit - 1 else credit
         return isAdmitted
     }
 
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/WaitingCalls.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/WaitingCalls.kt
@@ -75,13 +75,16 @@
 
     /** Adds a request; returns false when the memory for waiting requests is used up. */
     fun add(call: T): Boolean {
-        if (heldBytes + call.heldBytes > heldMaxBytes) return false
+        if (!hasRoom(call)) return false
         val key = LevelKey(call.rank, call.serviceId)
         val level = levels.getOrPut(key) { Level() }
         insert(Node(call, sequence++, level, minOf(call.reviewMillis, call.untilMillis)))
         return true
     }
 
+    /** Whether there is memory for [call] to wait. */
+    fun hasRoom(call: T): Boolean = heldBytes + call.heldBytes <= heldMaxBytes
+
     private fun insert(node: Node<T>) {
         heldBytes += node.call.heldBytes
         node.level.add(node)
