Ask whether a request that crashes endpoints would be refused, without effect

Cause: CrashSuspects.isRefused begins and extends refusals, which an explanation must not do. Change: CrashSuspects.wouldRefuse decides by the same conditions and changes nothing, not even the order in which suspects are forgotten.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/CrashSuspects.kt
@@ -195,12 +195,36 @@
      * small service as soon as they are back would prevent these responses.
      */
     fun isHeldBack(request: Fingerprint, nowMillis: Long): Boolean {
-        val suspect = suspects[request]?.takeUnless { isExpired(it, nowMillis) } ?: return false
+        val suspect = suspects[request] ?: return false
+        return isHeldBack(request, suspect, nowMillis)
+    }
+
+    private fun isHeldBack(request: Fingerprint, suspect: Suspect, nowMillis: Long): Boolean {
+        if (isExpired(suspect, nowMillis)) return false
         val crashes = unexplainedCrashes(request, suspect)
         if (crashes.size < limits.crashesMax) return false
         return nowMillis - maxOf(crashes.last().lostMillis, suspect.sentMillis) < limits.holdMillis
     }
 
+    /**
+     * Whether a request to [service] with [fingerprints], of which [request] is its own, is refused
+     * or held back. Unlike [isRefused], changes nothing.
+     */
+    fun wouldRefuse(
+        service: ServiceId,
+        fingerprints: List<Fingerprint>,
+        request: Fingerprint,
+        nowMillis: Long
+    ): Boolean = suspects.entries
+        // A look-up by key would count as a use.
+        .filter { it.key in fingerprints && !isExpired(it.value, nowMillis) }
+        .any { (fingerprint, suspect) ->
+            suspect.isRefused ||
+                isGuilty(fingerprint, suspect, service) ||
+                fingerprint == request &&
+                isHeldBack(fingerprint, suspect, nowMillis)
+        }
+
     /** Records that a request is sent; one that was held back before is held back again. */
     fun onSend(request: Fingerprint, nowMillis: Long) {
         suspects[request]?.sentMillis = nowMillis
