Explain on the metrics port what would be done with a request

Where a request goes was visible only from the log of requests that had been sent. Change: CallDecider holds the decision of CallDispatcher.sendOrQueue without its effects; the dispatcher carries it out, and CallExplainer reports it with the reasons of the placement. GET /explain on the port for metrics answers in JSON, without keys. Random numbers come from DetachableRandom, so that an explanation uses up none of the requests'. Measured: CallExplanationTest passes (three runs): chosen endpoint, reasons, refusal, unknown route and key, entry not ready; counters and the next random number are as before after 20 explanations. GatewayTest, CrashingRequestTest, SilentEndpointTest, EndpointLimitTest, LeavingEndpointTest, RequestedBackoffCallTest, RejectedRequestTest pass (one run), and InternalErrorTest, HeldUpEventLoopTest, ConfigurationChangeCallTest (one run). A first test that compared the endpoints of 40 requests with and without explanations failed: which endpoint a request gets depends on learned times, so it was replaced by the one on random numbers. No run with a real process and the platform's stand-in.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -4,11 +4,13 @@
  */
 package org.toucanspur.daemon.gateway
 
+import io.netty.handler.codec.http.HttpRequest
 import java.net.InetSocketAddress
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.gateway.AttemptHistory
 import org.toucanspur.core.gateway.AttemptOutcome
+import org.toucanspur.core.gateway.CallExplanation
 import org.toucanspur.core.gateway.CallerRequestMetadata
 import org.toucanspur.core.gateway.EndpointRequestMetadata
 import org.toucanspur.core.gateway.EndpointSignal
@@ -46,6 +48,13 @@
     override val crashes = CrashObserver(state, log, metrics)
     private val refusals = RefusalPolicy(state, placements, overload)
     private val queue = CallScheduler(placements, overload, waitingMaxBytes)
+    private val decider = CallDecider(placements, queue, statements)
+    private val explainer = CallExplainer(
+        state,
+        admission,
+        CallExplainer.Steps(refusals, overload, decider, queue),
+        this
+    )
     private val responseMemory = ResponseMemory<Call>(responseMemoryBytes)
     private val activeCalls = LinkedHashSet<Call>()
     private var grace: GracePeriod? = null
@@ -145,27 +154,23 @@
             refuse(call, it)
             return
         }
-        val placement = placements.place(call, now)
-        val isBehindOthers = queue.isBehindOthers(call)
-        if (placement is Placement.Send && !isBehindOthers) {
-            queue.onPlacedAtOnce(call)
-            send(call, placement)
-            return
-        }
-        queue.limitWait(call, now)
-        val isUnservable =
-            !call.isCommitted &&
-                placement is Placement.Nowhere &&
-                !placements.hasAcceptingEndpoint(call)
-        when {
-            isUnservable || statements.mustRefuse(call, placement, queue.size, now) ->
-                failUnplaced(call, placement)
-            queue.add(call) -> metrics.queued.increment()
-            else -> failUnplaced(call, placement, RefusalCause.MEMORY)
+        val decision = decider.decide(call, now)
+        when (decision) {
+            is CallDecision.Send -> {
+                queue.onPlacedAtOnce(call)
+                send(call, decision.placement)
+                return
+            }
+            is CallDecision.Fail -> failUnplaced(call, decision.placement, decision.cause)
+            is CallDecision.Wait -> if (queue.add(call)) metrics.queued.increment()
         }
-        if (placement is Placement.Send) drainQueue()
+        if (decision.placement is Placement.Send) drainQueue()
     }
 
+    /** What would be done now with a request of [head], which is not sent. Has no effect. */
+    fun explain(head: HttpRequest): CallExplanation =
+        state.random.detached { explainer.explain(head, ::canFinish) }
+
     private fun failUnplaced(call: Call, placement: Placement, cause: RefusalCause? = null) =
         if (call.mayHaveExecuted) {
             fail(call, "no endpoint for another send")
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallPlacement.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallPlacement.kt
@@ -6,6 +6,7 @@
 
 import org.toucanspur.core.gateway.Placement
 import org.toucanspur.core.gateway.PlacementQuery
+import org.toucanspur.core.gateway.PlacementTrace
 import org.toucanspur.core.gateway.WaitPolicy
 import org.toucanspur.core.gateway.extraPrefillMillis
 import org.toucanspur.daemon.monotonicMillis
@@ -18,12 +19,13 @@
     private val versions: CallVersions,
     private val overload: OverloadControl
 ) {
-    /** Selects an endpoint for [call] other than those in [tried]. */
+    /** Selects an endpoint for [call] other than those in [tried]; [trace] gets the reasons. */
     fun place(
         call: Call,
         nowMillis: Long,
         isFinalAttempt: Boolean = false,
-        tried: Set<EndpointId> = call.tried
+        tried: Set<EndpointId> = call.tried,
+        trace: PlacementTrace? = null
     ): Placement {
         val elapsed = nowMillis - call.request.receivedMillis
         val budget = if (call.isCommitted) {
@@ -47,7 +49,8 @@
                 call.executedAttempts > 0 &&
                 call.executedAttempts + 1 >= call.route.endpointsMax
         )
-        return state.placer.place(query, budget, nowMillis, state.entryCount(nowMillis))
+        val entryCount = state.entryCount(nowMillis)
+        return state.placer.place(query, budget, nowMillis, entryCount, trace)
     }
 
     // A long prompt takes its time at any endpoint; it must not keep the request from all of them.
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallScheduler.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallScheduler.kt
@@ -46,6 +46,13 @@
         }
     }
 
+    /** Whether there is memory for [call] to wait. */
+    fun hasRoom(call: Call): Boolean = waiting.hasRoom(call)
+
+    /** Predicted wait of [call]; very large when nothing shows that it ends. */
+    fun predictedWaitMillis(call: Call, nowMillis: Long): Double =
+        waiting.waitMillis(call, overload.waitCapacity(call.service.id, nowMillis))
+
     /** Adds [call]; returns false when there is no memory for it. */
     fun add(call: Call): Boolean {
         call.placementKind = PlacementKind(
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CrashObserver.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CrashObserver.kt
@@ -71,11 +71,21 @@
     fun refusal(call: Call, nowMillis: Long): Refusal? {
         if (!isRefused(call, nowMillis)) return null
         metrics.crashSuspects.increment()
-        return if (call.mayHaveExecuted) {
-            Refusal(BAD_GATEWAY, REASON)
-        } else {
-            Refusal(UNAVAILABLE, REASON, RETRY_MILLIS)
-        }
+        return refusalOf(call)
+    }
+
+    /** Like [refusal], without any effect. */
+    fun wouldRefuse(call: Call, nowMillis: Long): Refusal? {
+        val fingerprints = call.fingerprints
+        val isRefused = suspects.size > 0 &&
+            suspects.wouldRefuse(call.service.id, fingerprints.all, fingerprints.own, nowMillis)
+        return if (isRefused) refusalOf(call) else null
+    }
+
+    private fun refusalOf(call: Call): Refusal = if (call.mayHaveExecuted) {
+        Refusal(BAD_GATEWAY, REASON)
+    } else {
+        Refusal(UNAVAILABLE, REASON, RETRY_MILLIS)
     }
 
     /**
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -100,7 +100,15 @@
         ProbeServer(loop, settings.limits, emptyMap(), codec.readinessPath, ::isReady)
             .start(socketAddress(settings.addresses.readiness))
         val metrics = InetSocketAddress(settings.node.host, settings.addresses.peerPort + 1)
-        ProbeServer(loop, settings.limits, mapOf("/metrics" to registry::scrape)).start(metrics)
+        ProbeServer(
+            loop,
+            settings.limits,
+            mapOf("/metrics" to registry::scrape),
+            queries = mapOf(
+                EXPLAIN_PATH to
+                    explainPage({ loop.onTaskFailed("explain", it) }, dispatcher::explain)
+            )
+        ).start(metrics)
         registry.gauge("toucanspur.requests.active", dispatcher) { it.activeCount.toDouble() }
         registry.gauge("toucanspur.responses.buffered.bytes", dispatcher) {
             it.bufferedBytes.toDouble()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -61,7 +61,10 @@
 val systemClocks = ClockPair { ClockReading(monotonicMillis(), wallMillis()) }
 
 /** State of one entry; confined to the event loop. */
-class GatewayState(val settings: NodeConfiguration, val random: Random) {
+class GatewayState(val settings: NodeConfiguration, random: Random) {
+    /** Random choices of this entry. */
+    val random = DetachableRandom(random)
+
     /** Active configuration; null until the first one is loaded. */
     var configuration: TrafficConfiguration? = null
         set(value) {
@@ -105,7 +108,7 @@
     /** All known endpoints. */
     val fleet = Fleet(
         settings.bounds.stabilityMillis.toLong(),
-        random,
+        this.random,
         settings.routing.learning == RoutingLearning.ON
     )
 
@@ -166,7 +169,7 @@
         settings.node.zone,
         settings.node.region,
         settings.bounds.coldAllowance,
-        random
+        this.random
     )
 
     /** Region of each availability zone. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/OverloadControl.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/OverloadControl.kt
@@ -24,11 +24,14 @@
     private var updatedMillis = Long.MIN_VALUE
     private val random: Random get() = state.random
 
-    /** Whether [call] is admitted. */
-    fun admits(call: Call): Boolean = admissions[call.service.id]
-        ?.admits(call.priority, call.organisation?.id, isRepeated = !call.isOnTime)
+    /** Whether [call] is admitted; charges it to its organisation if [isRecorded]. */
+    fun admits(call: Call, isRecorded: Boolean = true): Boolean = admissions[call.service.id]
+        ?.admits(call.priority, call.organisation?.id, !call.isOnTime, isRecorded)
         ?: true
 
+    /** Part of the requests of the priority of [call] that is admitted. */
+    fun share(call: Call): Double = admissions[call.service.id]?.share(call.priority) ?: 1.0
+
     /** Updates the admission; [waitingCount] gives the waiting calls that can be on time. */
     fun update(nowMillis: Long, waitingCount: (ServiceId) -> Int) {
         if (updatedMillis != Long.MIN_VALUE && nowMillis - updatedMillis < UPDATE_MILLIS) return
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ProbeServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ProbeServer.kt
@@ -28,13 +28,20 @@
 import org.toucanspur.daemon.net.NettyEventLoop
 import org.toucanspur.schema.LimitsSection
 
-/** Serves [pages] by path, and a readiness probe at [path]: 200 if [isReady], otherwise 503. */
+/** Answer to a request with a query. */
+class ProbeAnswer(val status: Int, val text: String)
+
+/**
+ * Serves [pages] and the answers of [queries] by path, and a readiness probe at [path]: 200 if
+ * [isReady], otherwise 503.
+ */
 class ProbeServer(
     private val loop: NettyEventLoop,
     private val limits: LimitsSection,
     private val pages: Map<String, () -> String>,
     private val path: String = "",
-    private val isReady: () -> Boolean = { true }
+    private val isReady: () -> Boolean = { true },
+    private val queries: Map<String, (HttpRequest) -> ProbeAnswer> = emptyMap()
 ) {
     private val connections = ConnectionLimit(loop, limits.probeConnections, SILENCE_MAX_MILLIS)
 
@@ -98,13 +105,15 @@
         private fun respond(context: ChannelHandlerContext, request: HttpRequest) {
             val target = request.uri().substringBefore('?')
             val page = pages[target]
+            val answer = queries[target]?.invoke(request)
             val status = when {
+                answer != null -> HttpResponseStatus.valueOf(answer.status)
                 page != null -> HttpResponseStatus.OK
                 target != path -> HttpResponseStatus.NOT_FOUND
                 isReady() -> HttpResponseStatus.OK
                 else -> HttpResponseStatus.SERVICE_UNAVAILABLE
             }
-            val text = page?.invoke().orEmpty()
+            val text = answer?.text ?: page?.invoke().orEmpty()
             val content = Unpooled.copiedBuffer(text, Charsets.UTF_8)
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/RefusalPolicy.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/RefusalPolicy.kt
@@ -17,20 +17,24 @@
 
     /**
      * Whether [call] is the first attempt of its caller. One that retries after a refusal sends a
-     * shorter remaining time. The longest one seen on the route stands for that of a first attempt.
+     * shorter remaining time. The longest one seen on the route stands for that of a first attempt;
+     * [call] counts for it if it [isRecorded].
      */
-    fun isOnTime(call: Call): Boolean {
+    fun isOnTime(call: Call, isRecorded: Boolean = true): Boolean {
         // One caller with much time must not make all others late.
         val remaining =
             minOf(call.metadata.remainingMillis ?: return true, call.route.timeoutMillis)
         val longest = maxOf(remaining, maxRemainingMillis[call.route.name] ?: 0)
-        maxRemainingMillis[call.route.name] = longest
+        if (isRecorded) maxRemainingMillis[call.route.name] = longest
         return longest - remaining < call.route.targetMillis / 2
     }
 
-    /** Refusal of [call] because the share of its kind is used up; null when it is admitted. */
-    fun shareRefusal(call: Call): Refusal? {
-        if (overload.admits(call)) return null
+    /**
+     * Refusal of [call] because the share of its kind is used up; null when it is admitted. Charges
+     * it to its organisation if it [isRecorded].
+     */
+    fun shareRefusal(call: Call, isRecorded: Boolean = true): Refusal? {
+        if (overload.admits(call, isRecorded)) return null
         val retryAfterMillis = overload.retryAfterMillis(call, monotonicMillis())
         return Refusal(UNAVAILABLE, BUSY, retryAfterMillis, RefusalCause.SHARE)
     }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -1,10 +1,15 @@
 package org.toucanspur.daemon.gateway
 
+import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
+import org.toucanspur.core.gateway.CallExplanation
 import org.toucanspur.core.gateway.CallKind
 import org.toucanspur.core.gateway.CallerLimits
 import org.toucanspur.core.gateway.ClockReading
@@ -173,6 +178,7 @@
     private val state = GatewayState(entrySettings(duties = usageDuties), Random(1))
     private var starts = 0L
     private val server: GatewayServer
+    private val dispatcher: CallDispatcher
     private var configuration = TestConfiguration(
         1,
         listOf(
@@ -208,7 +214,7 @@
             endpoints.forEachIndexed { index, port -> state.fleet.put(record(index, port), 0) }
         }
         val metrics = GatewayMetrics(registry)
-        val dispatcher =
+        dispatcher =
             CallDispatcher(
                 loop,
                 state,
@@ -335,6 +341,33 @@
         "toucanspur.responses.outdated"
     ).count().toLong()
 
+    /** Explains a request with [headers] to [path]. */
+    fun explain(path: String, vararg headers: Pair<String, String>): CallExplanation =
+        loop.executor.submit<CallExplanation> {
+            val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path)
+            head.headers().set("Host", "h")
+            headers.forEach { (name, value) -> head.headers().set(name, value) }
+            dispatcher.explain(head)
+        }.get()
+
+    /** Serves explanations on [port]. */
+    fun serveExplanations(port: Int) = ProbeServer(
+        loop,
+        state.settings.limits,
+        emptyMap(),
+        queries = mapOf(
+            EXPLAIN_PATH to explainPage({ failedTasks += "explain" }, dispatcher::explain)
+        )
+    ).start(InetSocketAddress("127.0.0.1", port))
+
+    /** Draws the next random number of the gateway. */
+    fun nextRandom(): Int = loop.executor.submit<Int> { state.random.nextInt() }.get()
+
+    /** Values of all counters. */
+    val counts: Map<String, Double>
+        get() = registry.meters.filterIsInstance<Counter>()
+            .associate { it.id.toString() to it.count() }
+
     /** Sends a request and returns everything received until the connection closes. */
     fun call(
         path: String,
