Add `toucanspur explain call`

Change: the command asks one entry and prints its explanation as text or JSON. Exit codes of its own: 8 unknown route, 9 unknown key, 10 entry not ready, 11 port not reachable.

--- a/cli/src/main/kotlin/org/toucanspur/cli/ExitCode.kt
+++ b/cli/src/main/kotlin/org/toucanspur/cli/ExitCode.kt
@@ -30,5 +30,17 @@
     NOT_IN_FORCE(6),
 
     /** The requested object does not exist. */
-    NOT_FOUND(7)
+    NOT_FOUND(7),
+
+    /** The configuration of the entry has no route for the request. */
+    ROUTE_UNKNOWN(8),
+
+    /** No organisation has the key of the request. */
+    KEY_UNKNOWN(9),
+
+    /** The entry has no complete configuration, cannot check keys, or is stopping. */
+    ENTRY_NOT_READY(10),
+
+    /** The port of the entry does not respond, or is not one that explains requests. */
+    ENTRY_UNREACHABLE(11)
 }
--- a/cli/src/main/kotlin/org/toucanspur/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/org/toucanspur/cli/ExplainCommand.kt
@@ -4,25 +4,98 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.choice
+import java.nio.file.Path
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
 import org.toucanspur.core.events.mergeTimelines
+import org.toucanspur.core.gateway.CallExplanation
+import org.toucanspur.core.gateway.ExplainedOutcome
+import org.toucanspur.daemon.platform.platformHttpClient
 import org.toucanspur.schema.ProcessStatus
 import org.toucanspur.schema.VmRecord
 
-/** `toucanspur explain`: explains the state of an endpoint, request or release. */
+/** `toucanspur explain`: explains the state of an endpoint, request or release, or a placement. */
 class ExplainCommand : CliktCommand(name = "explain") {
     private val kind by argument(
         "KIND",
-        help = "endpoint, request or release"
-    ).choice("endpoint", "request", "release")
-    private val id by argument("ID", help = "VM, request id or digest (or a prefix)")
+        help = "endpoint, request or release, or call: where a request would be sent now"
+    ).choice("endpoint", "request", "release", CALL)
+    private val id by argument(
+        "ID",
+        help = "VM, request id or digest (or a prefix); HOST/PATH for a call"
+    )
+    private val entry by option(
+        "--entry",
+        metavar = "HOST:PORT",
+        help = "Call: port for metrics of the entry to ask"
+    )
+    private val headers by option(
+        "--header",
+        metavar = "NAME:VALUE",
+        help = "Call: header of the request; other users of the machine can see it"
+    ).multiple()
+    private val headersFile by option(
+        "--headers-file",
+        metavar = "FILE",
+        help = "Call: file with a header on each line, such as the key; - for standard input"
+    )
+    private val method by option("--method", help = "Call: method of the request").default("POST")
+    private val json by option("--json", help = "Call: print JSON").flag()
     private val platform by PlatformOptions()
 
     override fun help(context: Context): String =
-        "Explains the state of an endpoint, request or release and lists related decisions.\n\n" +
-            "Example: toucanspur explain endpoint writer-2"
+        "Explains the state of an endpoint, request or release and lists related decisions, " +
+            "or shows where an entry would send a request now, and why.\n\n" +
+            "Examples: toucanspur explain endpoint writer-2; " +
+            "toucanspur explain call api.example.com/v1/x --entry 10.0.0.5:7101 " +
+            "--headers-file headers.txt"
 
-    override fun run() = platform.use { clients ->
+    override fun run() = if (kind == CALL) explainCall() else explainState()
+
+    private fun explainCall() {
+        val address = entry ?: fail("no entry; pass --entry HOST:PORT", ExitCode.USAGE)
+        val fromFile = when (val file = headersFile) {
+            null -> emptyList()
+            "-" -> System.`in`.bufferedReader().readLines()
+            else -> readFile(Path.of(file)).lines()
+        }
+        val call = ExplainedCall(id, method, headers + fromFile)
+        val explanation = runBlocking {
+            platformHttpClient(CALL_TIMEOUT_MILLIS).use { it.explain(address, call) }
+        }
+        val text = if (json) {
+            Json.encodeToString(CallExplanation.serializer(), explanation)
+        } else {
+            explanationText(explanation)
+        }
+        echo(text)
+        when (explanation.outcome) {
+            ExplainedOutcome.ROUTE_UNKNOWN -> fail(
+                "no route for ${call.host}${call.path}; check host and path against the " +
+                    "configuration with version ${explanation.configuration}",
+                ExitCode.ROUTE_UNKNOWN
+            )
+            ExplainedOutcome.KEY_UNKNOWN -> fail(
+                "no organisation has the key, or there is none; pass the header with the key " +
+                    "by --headers-file",
+                ExitCode.KEY_UNKNOWN
+            )
+            ExplainedOutcome.NOT_READY -> fail(
+                "${explanation.entry} is not ready " +
+                    "(${explanation.refusal?.reason ?: "it is stopping"}); " +
+                    "wait, or ask another entry",
+                ExitCode.ENTRY_NOT_READY
+            )
+            else -> Unit
+        }
+    }
+
+    private fun explainState() = platform.use { clients ->
         val statuses = clients.statuses()
         val lines = when (kind) {
             "endpoint" -> statuses.filter {
@@ -49,6 +122,11 @@
         lines.forEach { echo(it) }
         echo(timelineText(events))
     }
+
+    private companion object {
+        const val CALL = "call"
+        const val CALL_TIMEOUT_MILLIS = 3000L
+    }
 }
 
 /** Explains why an endpoint accepts or does not accept requests. */
