Let requests wait while all engines load weights

Evidence: LoadWaitTest, GatewayTest, CallExplanationTest, WeightVersionListenerTest and PlacementTest pass.

--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDecider.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDecider.kt
@@ -35,6 +35,9 @@
             return CallDecision.Send(placement)
         }
         queue.limitWait(call, nowMillis)
+        if (placement is Placement.Nowhere && placements.isAwaitingLoad(call, nowMillis)) {
+            queue.extendForLoad(call, nowMillis)
+        }
         val isUnservable =
             !call.isCommitted &&
                 placement is Placement.Nowhere &&
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -424,11 +424,20 @@
         when {
             finalPlacement is Placement.Send -> send(call, finalPlacement)
             call.isCommitted -> fail(call, "no endpoint to resume at")
+            awaitsLoad(call, finalPlacement, nowMillis) && queue.add(call) -> Unit
             nowMillis < call.untilMillis -> failUnplaced(call, finalPlacement, RefusalCause.WAIT)
             else -> failUnplaced(call, finalPlacement)
         }
     }
 
+    // A call may have begun to wait before all endpoints loaded. One that is refused before its time
+    // has expired is behind others that take all of it.
+    private fun awaitsLoad(call: Call, placement: Placement, nowMillis: Long): Boolean =
+        placement is Placement.Nowhere &&
+            nowMillis >= call.untilMillis &&
+            placements.isAwaitingLoad(call, nowMillis) &&
+            queue.extendForLoad(call, nowMillis)
+
     private fun drainQueue() {
         val now = monotonicMillis()
         queue.drain { call ->
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallPlacement.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallPlacement.kt
@@ -9,6 +9,7 @@
 import org.toucanspur.core.gateway.PlacementTrace
 import org.toucanspur.core.gateway.WaitPolicy
 import org.toucanspur.core.gateway.extraPrefillMillis
+import org.toucanspur.core.gateway.isAwaitingLoad
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.RegionId
@@ -35,24 +36,37 @@
                 WaitPolicy.firstByteBudgetMillis(call.route.targetMillis, elapsed, call.isOnTime)
             overload.budgetMillis(call, own, elapsed) + extraPromptMillis(call)
         }
-        val query = PlacementQuery(
-            service = call.service,
-            promptTokens = call.metadata.promptTokens
-                ?: call.service.engine?.typicalPromptTokens
-                ?: 0,
-            regions = allowedRegions(call),
-            excludedZones = state.evacuatedZones,
-            tried = tried,
-            versionMin = versions.versionMin(call, nowMillis),
-            slowPathVersionMin = versions.slowPathVersionMin(call, nowMillis),
-            mustFinish = !isFinalAttempt &&
-                call.executedAttempts > 0 &&
-                call.executedAttempts + 1 >= call.route.endpointsMax
-        )
+        val query = query(call, nowMillis, tried, isFinalAttempt)
         val entryCount = state.entryCount(nowMillis)
         return state.placer.place(query, budget, nowMillis, entryCount, trace)
     }
 
+    private fun query(
+        call: Call,
+        nowMillis: Long,
+        tried: Set<EndpointId>,
+        isFinalAttempt: Boolean
+    ) = PlacementQuery(
+        service = call.service,
+        promptTokens = call.metadata.promptTokens
+            ?: call.service.engine?.typicalPromptTokens
+            ?: 0,
+        regions = allowedRegions(call),
+        excludedZones = state.evacuatedZones,
+        tried = tried,
+        versionMin = versions.versionMin(call, nowMillis),
+        slowPathVersionMin = versions.slowPathVersionMin(call, nowMillis),
+        mustFinish = !isFinalAttempt &&
+            call.executedAttempts > 0 &&
+            call.executedAttempts + 1 >= call.route.endpointsMax
+    )
+
+    /** Whether [call], which no endpoint can take now, is expected to find one after a load. */
+    fun isAwaitingLoad(call: Call, nowMillis: Long): Boolean = state.fleet.isAwaitingLoad(
+        query(call, nowMillis, call.tried, isFinalAttempt = false),
+        nowMillis
+    )
+
     // A long prompt takes its time at any endpoint; it must not keep the request from all of them.
     private fun extraPromptMillis(call: Call): Double {
         val engine = call.service.engine ?: return 0.0
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallScheduler.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallScheduler.kt
@@ -9,6 +9,7 @@
 import org.toucanspur.core.gateway.PlacementResult
 import org.toucanspur.core.gateway.WaitPolicy
 import org.toucanspur.core.gateway.WaitingCalls
+import org.toucanspur.core.gateway.loadWaitMillis
 import org.toucanspur.schema.EndpointId
 import org.toucanspur.schema.ServiceId
 
@@ -53,6 +54,18 @@
     fun predictedWaitMillis(call: Call, nowMillis: Long): Double =
         waiting.waitMillis(call, overload.waitCapacity(call.service.id, nowMillis))
 
+    /**
+     * Lets [call] wait for a weight load to end, as long as its response can then be complete in
+     * time. Returns false if it cannot.
+     */
+    fun extendForLoad(call: Call, nowMillis: Long): Boolean {
+        val engine = call.service.engine ?: return false
+        if (call.isCommitted) return false
+        val waitMillis = loadWaitMillis(call.deadlineMillis - nowMillis, engine)
+        call.untilMillis = maxOf(call.untilMillis, nowMillis + waitMillis)
+        return waitMillis > 0
+    }
+
     /** Adds [call]; returns false when there is no memory for it. */
     fun add(call: Call): Boolean {
         call.placementKind = PlacementKind(
