--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -3,7 +3,8 @@
  * penalties for locality and recent failures, and takes the endpoint with the lowest cost. Designed
  * for overload by several entries that see each other's requests only in the endpoints' load
  * reports: random jitter decides between endpoints of similar cost, so that entries with the same
- * reports do not all select the same endpoint.
+ * reports do not all select the same endpoint. From six entries on, SharedChoice spreads requests
+ * over the engines, by what the other entries are expected to send.
  */
 package org.toucanspur.core.gateway
 
