--- a/core/src/main/kotlin/org/toucanspur/core/gateway/ArrivalForecast.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/ArrivalForecast.kt
@@ -28,10 +28,8 @@
     fun add(amount: Double, nowMillis: Long) {
         val bucket = nowMillis / BUCKET_MILLIS
         if (bucket - newest >= BUCKETS) amounts.fill(0f)
-        for (skipped in maxOf(newest + 1, bucket - BUCKETS + 1)..bucket) {
-            amounts[index(skipped)] =
-                0f
-        }
+        val firstUnused = maxOf(newest + 1, bucket - BUCKETS + 1)
+        for (unused in firstUnused..bucket) amounts[index(unused)] = 0f
         newest = maxOf(newest, bucket)
         amounts[index(newest)] += amount.toFloat()
     }
