--- a/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/Placement.kt
@@ -120,11 +120,20 @@
             }
             trace?.onEndpoint(EndpointVerdict(endpoint, null, prediction.millis, cost, isWithin))
         }
-        // An explanation has no effect.
-        if (trace == null) shared?.finish(nowMillis)
-        val selected =
-            if (shared == null) selection.result() else shared.result(region, random, nowMillis)
-        return selected ?: unplaced(earliestMillis, firstOpensInMillis)
+        return choose(selection, shared, isRecorded = trace == null, nowMillis)
+            ?: unplaced(earliestMillis, firstOpensInMillis)
+    }
+
+    // An explanation records no forecast, because it must not affect later placements.
+    private fun choose(
+        selection: Selection,
+        shared: SharedChoice?,
+        isRecorded: Boolean,
+        nowMillis: Long
+    ): Placement.Send? {
+        if (shared == null) return selection.result()
+        if (isRecorded) shared.finish(nowMillis)
+        return shared.result(region, random, nowMillis)
     }
 
     private fun unplaced(earliestMillis: Double, firstOpensInMillis: Long): Placement = when {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallDispatcher.kt
@@ -430,8 +430,8 @@
         }
     }
 
-    // A call may have begun to wait before all endpoints loaded. One that is refused before its time
-    // has expired is behind others that take all of it.
+    // A call may have begun to wait before all endpoints loaded. One that is refused before its
+    // time has expired is behind others that take all of it.
     private fun awaitsLoad(call: Call, placement: Placement, nowMillis: Long): Boolean =
         placement is Placement.Nowhere &&
             nowMillis >= call.untilMillis &&
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -269,7 +269,7 @@
 }
 
 // A few unread bytes keep the whole receive buffer, which by default has up to 64 KiB. A read is
-// decoded at once, and 16 KiB in chunks of one byte delay all other callers by several milliseconds.
+// decoded at once, and 16 KiB in chunks of one byte delay all other callers by milliseconds.
 private const val RECEIVE_MIN_BYTES = 64
 private const val RECEIVE_INITIAL_BYTES = 2048
 private const val RECEIVE_MAX_BYTES = 4 * 1024
