Review case 6: a revoked key works after a freeze

A script stops an entry for 7.6 s; the store cuts off a waiting watch and a key is taken away meanwhile. 17 to 24 requests that were sent later than revocation-ms after the acknowledgement run (CONFIG).

--- a/review/standin-2/Node.java
+++ b/review/standin-2/Node.java
@@ -70,6 +70,11 @@
         process.waitFor(10, TimeUnit.SECONDS);
     }
 
+    /** Stops the process with SIGSTOP, or continues it with SIGCONT. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
     @Override
     public void close() throws InterruptedException {
         kill();
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -21,8 +21,13 @@
     private final List<Change> history = new ArrayList<>();
     private final HttpServer server;
     private final int pageItems;
+    private final Map<String, Integer> cuts = new HashMap<>();
+    private final Map<String, Long> watchStarts = new HashMap<>();
     private long revision = 1;
 
+    /** Time that each answer takes. */
+    volatile long answerMillis;
+
     /** While true, calls get no answer. */
     volatile boolean isSilent;
 
@@ -55,10 +60,22 @@
         notifyAll();
     }
 
+    /** Cuts off the watches of [kind] that wait: they end without events. */
+    synchronized void cutWatches(String kind) {
+        cuts.merge(kind, 1, Integer::sum);
+        notifyAll();
+    }
+
+    /** Time of the last watch call for [kind] that waits [waitMillis], in Unix milliseconds; 0 if none. */
+    synchronized long watchStart(String kind, long waitMillis) {
+        return watchStarts.getOrDefault(kind + " " + waitMillis, 0L);
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         byte[] body = exchange.getRequestBody().readAllBytes();
         try {
             while (isSilent) Thread.sleep(20);
+            if (answerMillis > 0) Thread.sleep(answerMillis);
             String[] path = exchange.getRequestURI().getPath().substring("/v1/objects/".length()).split("/");
             Map<String, String> query = Cases.query(exchange);
             if (!exchange.getRequestMethod().equals("GET")) {
@@ -105,8 +122,10 @@
         long end = System.nanoTime() + waitMillis * 1_000_000;
         String text;
         synchronized (this) {
+            watchStarts.put(kind + " " + waitMillis, System.currentTimeMillis());
+            int cut = cuts.getOrDefault(kind, 0);
             List<Change> found = changes(kind, after);
-            while (found.isEmpty() && System.nanoTime() < end) {
+            while (found.isEmpty() && System.nanoTime() < end && cut == cuts.getOrDefault(kind, 0)) {
                 wait(Math.max(1, (end - System.nanoTime()) / 1_000_000));
                 found = changes(kind, after);
             }
