Count what is known of the store from the start of the call that returned it

Cause: ObjectWatcher.confirmedAt took a watch without changes for current up to the end of its wait if the clock had passed that end when the response was handled. A response shows the store at some time between the start of its call and its arrival. Here the store cut off a watch of the evacuations, the response waited for an entry that was stopped, and StoreFreshness passed the wrong time on to the configuration.

Change: a response proves the state at the start of its call. Waits follow from bounds of two calls: 800 ms for the configuration (1 s before), 1.3 s for evacuations and weight versions while the store changes. A watch is checked when it is silent for half of its limit, or proves nothing within it. WatchProgress dates a change by the end of a wait only if the response was prompt and the process was not paused.

Tests changed: ObjectWatcherTest "is up to date as of the end of a watch without changes" expected the fault; in its place two tests expect the start, for a whole wait and for a response that was held back. StoreCallPlanTest expected a wait of 2,600 ms for the evacuations, whose limit then no longer holds for two calls; it now also checks that sum.

Why it works: no duration enters the proof any more, so neither a cut, nor a held response, nor a pause can make it newer.

--- a/core/src/main/kotlin/org/toucanspur/core/gateway/StoreCallPlan.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/StoreCallPlan.kt
@@ -1,10 +1,13 @@
 /*
- * When an entry calls the store for the endpoints and the evacuations. Each call costs, and every
+ * When an entry calls the store, and how long its watch calls wait. Each call costs, and every
  * entry watches every kind, so with more entries each one calls as seldom as the bounds permit.
  *
  * While the store changes, a kind is known only up to the revision of its own last response. A
  * watch call therefore ends by itself before the kind would have to be checked, which takes two
  * calls: one that does not wait, and the one that waits again.
+ *
+ * A response proves the state at the start of its call. What is known is therefore up to two waits
+ * old when the next response arrives.
  */
 package org.toucanspur.core.gateway
 
@@ -13,9 +16,20 @@
 /**
  * Pauses and waits of the watches, for a deployment in which a draining endpoint must get no
  * request [drainMillis] after it was marked, and an entry may act on evacuations up to
- * [evacuationLimitMillis] old.
+ * [evacuationLimitMillis] old, on weight versions up to [versionLimitMillis], and on the
+ * configuration up to [configurationLimitMillis].
  */
-class StoreCallPlan(private val drainMillis: Long, private val evacuationLimitMillis: Long) {
+class StoreCallPlan(
+    private val drainMillis: Long,
+    private val evacuationLimitMillis: Long,
+    private val versionLimitMillis: Long = evacuationLimitMillis,
+    configurationLimitMillis: Long = evacuationLimitMillis
+) {
+    /** Wait of a watch call for the configuration. */
+    val configurationWaitMillis: Long =
+        (configurationLimitMillis * CONFIGURATION_WAIT_PERCENT / PERCENT)
+            .coerceIn(WAIT_MIN_MILLIS, CONFIGURATION_WAIT_MAX_MILLIS)
+
     /**
      * Pause after a change of the endpoints, at one of [entryCount] entries. [isJoinUrgent] if
      * requests wait for an endpoint that serves as soon as it is known.
@@ -29,9 +43,9 @@
     }
 
     /**
-     * Wait of the next watch call for [kind], which was last known [ageMillis] ago; null if nothing
-     * limits it. [isStoreChanging] if the store has had changes recently: otherwise the responses
-     * for other kinds confirm this one as well.
+     * Wait of the next watch call for [kind], whose last response is [ageMillis] old; null if
+     * nothing limits it. [isStoreChanging] if the store has had changes recently: otherwise the
+     * responses for other kinds confirm this one as well.
      */
     fun waitMillis(
         kind: ObjectKind,
@@ -39,15 +53,17 @@
         isStoreChanging: Boolean,
         ageMillis: Long
     ): Long? {
-        if (!isSpaced(entryCount) || !isStoreChanging) return null
+        val isLimited = kind == ObjectKind.WEIGHT_VERSIONS || isSpaced(entryCount)
+        if (!isLimited || !isStoreChanging) return null
         val endAgeMillis = endAgeMillis(kind)?.takeIf { it >= WAIT_MIN_MILLIS } ?: return null
         return maxOf(WAIT_MIN_MILLIS, endAgeMillis - ageMillis)
     }
 
-    // Age of the last confirmation when the call ends.
+    // Age of the last response when the call ends.
     private fun endAgeMillis(kind: ObjectKind): Long? = when (kind) {
         ObjectKind.ENDPOINTS -> drainMillis * END_PERCENT / PERCENT
-        ObjectKind.EVACUATIONS -> evacuationLimitMillis - SILENT_CALL_MILLIS
+        ObjectKind.EVACUATIONS -> (evacuationLimitMillis - SILENT_CALL_MILLIS) / 2
+        ObjectKind.WEIGHT_VERSIONS -> (versionLimitMillis - SILENT_CALL_MILLIS) / 2
         else -> null
     }
 
@@ -69,6 +85,10 @@
         const val END_PERCENT = 45
         const val WAIT_MIN_MILLIS = 200L
 
+        // Two waits and the two responses end within the limit.
+        const val CONFIGURATION_WAIT_PERCENT = 40
+        const val CONFIGURATION_WAIT_MAX_MILLIS = 1000L
+
         // A call on a connection that has gone silent ends 800 ms after its wait, and is repeated
         // after a backoff of 150 ms at most. The rest is for a slow store.
         const val SILENT_CALL_MILLIS = 1100L
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/WatchProgress.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/WatchProgress.kt
@@ -2,6 +2,10 @@
  * Determines after which time the changes of watched objects were made. A change usually arrives as
  * soon as it is made. It arrives late after a pause of this process or on a connection that has
  * gone silent, and its age then counts from the last time at which it was known not to exist.
+ *
+ * These times are estimates for a store that responds promptly: the bound on a weight version does
+ * not apply while the store or the links are disturbed. What an entry may rely on in any case is
+ * in [StoreFreshness].
  */
 package org.toucanspur.core.gateway
 
@@ -29,6 +33,23 @@
         return if (waitedMillis >= promptMillis) uninterruptedEnd else knownUntil ?: callStart
     }
 
+    /**
+     * Records that the watch call from [callStart] returned no changes at [now], after a wait of
+     * [waitMillis] at most. A call that ended early or late, or was interrupted by a pause, may
+     * have been answered long before.
+     */
+    fun onUnchanged(callStart: ClockReading, now: ClockReading, waitMillis: Long) {
+        val lateMillis = now.monotonicMillis - callStart.monotonicMillis - waitMillis
+        val isPrompt = lateMillis in 0 until PROMPT_MILLIS
+        if (!isPrompt || pauses.firstPauseSince(callStart) != null) return
+        advance(
+            ClockReading(
+                callStart.monotonicMillis + waitMillis,
+                callStart.wallMillis + waitMillis
+            )
+        )
+    }
+
     /** Records that all changes made before [at] have been delivered. */
     fun onUpToDate(at: ClockReading) {
         outageStart = null
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/StoreCallPlanTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/StoreCallPlanTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.longs.shouldBeInRange
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import org.toucanspur.core.platform.ObjectKind
 
@@ -39,7 +40,25 @@
             }
         }
         it("ends a call for the evacuations so that a silent one is repeated within its limit") {
-            plan.waitMillis(ObjectKind.EVACUATIONS, 13, true, 0) shouldBe 2600
+            val waitMillis = plan.waitMillis(ObjectKind.EVACUATIONS, 13, true, 0)
+            waitMillis shouldBe 1300
+            // The call before proves its start only; a silent one ends 800 ms late.
+            (2 * checkNotNull(waitMillis) + 800) shouldBeLessThan EVACUATION_LIMIT_MILLIS
+        }
+        it("ends a call for the weight versions likewise, with any number of entries") {
+            listOf(1, 13).forEach { entries ->
+                plan.waitMillis(ObjectKind.WEIGHT_VERSIONS, entries, true, 0) shouldBe 1300
+                plan.waitMillis(ObjectKind.WEIGHT_VERSIONS, entries, false, 0) shouldBe null
+            }
+        }
+        // Guards against an age of the configuration beyond its limit between two responses.
+        it("waits for the configuration so that two calls end within its limit") {
+            fun waitMillis(limitMillis: Long) =
+                StoreCallPlan(DRAIN_MILLIS, EVACUATION_LIMIT_MILLIS, 3700, limitMillis)
+                    .configurationWaitMillis
+            waitMillis(2000) shouldBe 800
+            waitMillis(700) shouldBe 280
+            waitMillis(9000) shouldBe 1000
         }
         it("does not limit a wait while the store does not change, or with short bounds") {
             plan.waitMillis(ObjectKind.ENDPOINTS, 13, false, 0) shouldBe null
--- a/core/src/test/kotlin/org/toucanspur/core/gateway/WatchProgressTest.kt
+++ b/core/src/test/kotlin/org/toucanspur/core/gateway/WatchProgressTest.kt
@@ -26,6 +26,25 @@
                 progress.unseenSince(at(2001), at(7100)) shouldBe at(2000)
             }
         }
+        describe("a call without changes") {
+            it("dates the next ones to the end of its wait") {
+                val progress = WatchProgress()
+                progress.onUnchanged(at(0), at(2010), waitMillis = 2000)
+                progress.unseenSince(at(2011), at(2020)) shouldBe at(2000)
+            }
+            // Guards against taking a watch that was cut off in a pause for one that has waited.
+            it("dates them to its start when it ended early or late, or the process was paused") {
+                val paused = WatchProgress { at(1000) }
+                paused.onUnchanged(at(0), at(2010), waitMillis = 2000)
+                paused.unlistedSince(at(2011)) shouldBe at(2011)
+                listOf(1990L, 2450L).forEach { endMillis ->
+                    val progress = WatchProgress()
+                    progress.onUpToDate(at(0))
+                    progress.onUnchanged(at(0), at(endMillis), waitMillis = 2000)
+                    progress.unlistedSince(at(endMillis)) shouldBe at(0)
+                }
+            }
+        }
         describe("a call on a silent connection") {
             it("does not confirm anything until it fails") {
                 val progress = WatchProgress()
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallAdmission.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallAdmission.kt
@@ -104,7 +104,7 @@
         // An entry loads its configuration within a second of its start.
         const val STARTUP_RETRY_MILLIS = 500L
 
-        // The freshness of the configuration is renewed once a second.
+        // The freshness of the configuration is renewed about once a second.
         const val FRESHNESS_RETRY_MILLIS = 700L
     }
 }
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -87,7 +87,7 @@
         val configuration = ConfigurationListener(state, log, ::onStoreAvailable)
         startWatch(
             ObjectKind.CONFIGURATION,
-            CONFIGURATION_WATCH_MILLIS,
+            state.storeCallPlan.configurationWaitMillis,
             configuration,
             WatchPacing(
                 BATCH_DELAY_MILLIS,
@@ -194,7 +194,8 @@
             ObjectKind.WEIGHT_VERSIONS,
             VERSION_WATCH_MILLIS,
             versionListener,
-            progress = versionProgress
+            PlannedPacing(ObjectKind.WEIGHT_VERSIONS, state),
+            versionProgress
         )
     }
 
@@ -253,9 +254,6 @@
     }
 
     private companion object {
-        // Renews the freshness of the configuration once a second.
-        const val CONFIGURATION_WATCH_MILLIS = 1000L
-
         // Listings in the time that a change of the configuration may take, while changes follow
         // each other quickly. The rest is for the transfer of a listing.
         const val CONFIGURATION_LISTINGS = 4
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayState.kt
@@ -142,10 +142,12 @@
     private fun evidenceLimitMillis(boundMillis: Int): Long =
         maxOf(minOf(boundMillis.toLong(), evidenceMaxAgeMillis), LIMIT_MIN_MILLIS)
 
-    /** Calls to the store for the endpoints and the evacuations. */
+    /** Calls to the store. */
     val storeCallPlan = StoreCallPlan(
         settings.bounds.drainMillis.toLong(),
-        evidenceLimitMillis(settings.bounds.evacuationMillis)
+        evidenceLimitMillis(settings.bounds.evacuationMillis),
+        evidenceLimitMillis(settings.bounds.versionMillis),
+        minOf(evidenceMaxAgeMillis, settings.bounds.configurationMillis.toLong())
     )
 
     /** Freshness of the configuration. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -50,7 +50,7 @@
 
     /**
      * Called when all changes up to [revision] of the [era] have been delivered, among them all
-     * that were acknowledged before [at].
+     * that were acknowledged before [at], the start of the call that returned them.
      */
     fun onUpToDate(revision: Long, at: ClockReading, era: Long?) = Unit
 
@@ -74,7 +74,7 @@
 ) {
     open val batchDelayMillis: Long = batchDelayMillis
 
-    /** Wait of the next call in place of [longestMillis]; the kind was known [ageMillis] ago. */
+    /** Wait of the next call in place of [longestMillis]; the last response is [ageMillis] old. */
     open fun waitMillis(longestMillis: Long, ageMillis: Long): Long = longestMillis
 }
 
@@ -105,7 +105,7 @@
     private val checks = Channel<Unit>(Channel.CONFLATED)
     private var isCheckDue = false
     private var isArriving = false
-    private var upToDateAt: ClockReading? = null
+    private var respondedAt: ClockReading? = null
 
     /**
      * Ends the wait of the current call; the next one, on a new connection, does not wait. A call
@@ -136,7 +136,7 @@
     private fun callWaitMillis(): Long = when {
         revision == null || isBurst -> 0
         outage == null && !isCheckDue -> {
-            val ageMillis = upToDateAt?.let { clocks.now().ageMillis(it) } ?: 0
+            val ageMillis = respondedAt?.let { clocks.now().ageMillis(it) } ?: 0
             minOf(waitMillis, pacing.waitMillis(waitMillis, ageMillis))
         }
         else -> CHECK_WAIT_MILLIS
@@ -187,10 +187,11 @@
             return null
         }
         revision = maxOf(afterRevision, changes.storeRevision)
+        val now = clocks.now()
         if (changes.changes.isEmpty()) {
-            onUpToDate(confirmedAt(at, waitMillis))
+            progress.onUnchanged(at, now, waitMillis)
+            onUpToDate(at)
         } else {
-            val now = clocks.now()
             changes.changes.forEach {
                 if (it.isRemoved) sizes -= it.stored.name else recordSize(it.stored)
             }
@@ -255,17 +256,13 @@
         return maxOf(0, (pacing.burstDelayMillis ?: 0) - elapsedMillis)
     }
 
-    private fun onUpToDate(at: ClockReading) {
-        upToDateAt = at
-        progress.onUpToDate(at)
-        listener.onUpToDate(checkNotNull(revision), at, era)
-    }
-
-    // A watch without changes lasts for its whole wait; if it ends earlier, the store ended it and
-    // only the time of its start is confirmed.
-    private fun confirmedAt(start: ClockReading, waitMillis: Long): ClockReading {
-        val end = ClockReading(start.monotonicMillis + waitMillis, start.wallMillis + waitMillis)
-        return if (clocks.now().monotonicMillis >= end.monotonicMillis) end else start
+    // A response shows the store as it was at some time after the start of the call. It may have
+    // been cut off early, held back on the way, or waited for this process to run again, so only
+    // the start is proved, however long the call took.
+    private fun onUpToDate(callStart: ClockReading) {
+        respondedAt = clocks.now()
+        progress.onUpToDate(callStart)
+        listener.onUpToDate(checkNotNull(revision), callStart, era)
     }
 
     private fun onSuccess() {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchHealth.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchHealth.kt
@@ -5,12 +5,16 @@
 package org.toucanspur.daemon.gateway
 
 import java.util.EnumSet
+import org.toucanspur.core.gateway.ClockPair
 import org.toucanspur.core.gateway.ClockReading
 import org.toucanspur.core.gateway.StoreFreshness
 import org.toucanspur.core.platform.ObjectKind
 
 /** Health of the watches of one entry; confined to the event loop. */
-class WatchHealth(private val freshness: StoreFreshness) {
+class WatchHealth(
+    private val freshness: StoreFreshness,
+    private val clocks: ClockPair = systemClocks
+) {
     private val failed = EnumSet.noneOf(ObjectKind::class.java)
 
     /** Whether no watch has failed since it was last up to date. */
@@ -26,7 +30,7 @@
         object : ObjectWatchListener by listener {
             override fun onUpToDate(revision: Long, at: ClockReading, era: Long?) {
                 listener.onUpToDate(revision, at, era)
-                freshness.onConfirmed(kind, revision, at, era)
+                freshness.onConfirmed(kind, revision, at, clocks.now(), era)
                 failed -= kind
             }
         }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/ObjectWatcherTest.kt
@@ -212,11 +212,25 @@
 class ObjectWatcherTest :
     DescribeSpec({
         describe("a watcher") {
-            it("is up to date as of the end of a watch without changes") {
+            // Guards against taking a response for newer than its call: a key worked after it had
+            // been taken away, because a watch was cut off in a pause of the entry.
+            it(
+                "is up to date as of the start of a watch that has lasted for its whole wait"
+            ) {
                 runTest {
                     val listener = runWatcher(ScriptedFeed(unchanged), millis = 2500)
                     listener.callbacks shouldBe listOf("listing 1")
-                    listener.upToDateAtMillis shouldBe 2000
+                    listener.upToDateAtMillis shouldBe 1000
+                }
+            }
+            it("is up to date as of the start of a watch whose response was held back") {
+                runTest {
+                    val heldBack: suspend () -> Result<ObjectChanges, FeedFailure> = {
+                        delay(WAIT_MILLIS + 700)
+                        Ok(ObjectChanges(emptyList(), 5))
+                    }
+                    runWatcher(ScriptedFeed(unchanged, heldBack, unchanged), millis = 2800)
+                        .upToDateAtMillis shouldBe 1000
                 }
             }
             it("is up to date only as of the start of a watch that ended early") {
