Keep the changes between the pages of a listing

Cause: PlatformStore.list returned the revision of the last page, and the watch started there. Changes to objects of earlier pages, removals and new objects were never delivered.

The watch from there returns again what later pages had; KnownRevisions drops what is not newer than the known object. After a listing whose history is gone when it ends, the watcher waits for its backoff.

Why it works: every change after the first page is either on a later page or after the revision of the first one.

--- a/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/platform/ObjectFeed.kt
@@ -10,8 +10,9 @@
 data class StoredObject(val name: String, val revision: Long, val text: String?)
 
 /**
- * All objects of a kind as of [storeRevision]. The [era] rises each time that the store returns
- * from an older copy of itself, with a lower revision; null if the store does not name it.
+ * All objects of a kind, each as of [storeRevision] or later. A watch from there returns all
+ * changes that the listing lacks, and possibly some that it has. The [era] rises each time that the
+ * store returns from an older copy of itself, with a lower revision; null if it names none.
  */
 class ObjectListing(val objects: List<StoredObject>, val storeRevision: Long, val era: Long? = null)
 
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/ObjectWatcher.kt
@@ -27,6 +27,7 @@
 import org.toucanspur.core.gateway.StoreOutage
 import org.toucanspur.core.gateway.WatchProgress
 import org.toucanspur.core.platform.FeedFailure
+import org.toucanspur.core.platform.KnownRevisions
 import org.toucanspur.core.platform.ObjectChange
 import org.toucanspur.core.platform.ObjectChanges
 import org.toucanspur.core.platform.ObjectFeed
@@ -98,9 +99,11 @@
     private var outage: StoreOutage? = null
     private var era: Long? = null
     private var newestObjectRevision = 0L
+    private val known = KnownRevisions()
     private val sizes = HashMap<String, Int>()
     private var changedMillis: Long? = null
     private var isBurst = false
+    private var isJustListed = false
     private var pauseMillis = 0L
     private val checks = Channel<Unit>(Channel.CONFLATED)
     private var isCheckDue = false
@@ -150,6 +153,8 @@
         listing.era?.let(listener::onEra)
         listener.onListing(listing.objects, progress.unlistedSince(at))
         revision = listing.storeRevision
+        isJustListed = true
+        known.replaceAll(listing.objects)
         sizes.clear()
         listing.objects.forEach(::recordSize)
         val isChanged = hasNewer(listing.objects)
@@ -187,18 +192,18 @@
             return null
         }
         revision = maxOf(afterRevision, changes.storeRevision)
+        isJustListed = false
         val now = clocks.now()
-        if (changes.changes.isEmpty()) {
-            progress.onUnchanged(at, now, waitMillis)
-            onUpToDate(at)
-        } else {
-            changes.changes.forEach {
+        val unknown = known.takeUnknown(changes.changes)
+        if (changes.changes.isEmpty()) progress.onUnchanged(at, now, waitMillis)
+        if (unknown.isNotEmpty()) {
+            unknown.forEach {
                 if (it.isRemoved) sizes -= it.stored.name else recordSize(it.stored)
             }
-            listener.onChanges(changes.changes, progress.unseenSince(at, now))
-            onUpToDate(at)
-            pace(changes, at, now.monotonicMillis)
+            listener.onChanges(unknown, progress.unseenSince(at, now))
         }
+        onUpToDate(at)
+        if (unknown.isNotEmpty()) pace(unknown, changes.supersededCount, at, now.monotonicMillis)
         return null
     }
 
@@ -239,12 +244,17 @@
         return minOf(maxBytes, Int.MAX_VALUE.toLong()).toInt()
     }
 
-    private fun pace(changes: ObjectChanges, start: ClockReading, nowMillis: Long) {
-        hasNewer(changes.changes.map { it.stored })
+    private fun pace(
+        changes: List<ObjectChange>,
+        supersededCount: Int,
+        start: ClockReading,
+        nowMillis: Long
+    ) {
+        hasNewer(changes.map { it.stored })
         val burstDelayMillis = pacing.burstDelayMillis
         if (burstDelayMillis != null) {
             val sinceChangeMillis = changedMillis?.let { nowMillis - it } ?: Long.MAX_VALUE
-            isBurst = changes.supersededCount > 0 || sinceChangeMillis < burstDelayMillis
+            isBurst = supersededCount > 0 || sinceChangeMillis < burstDelayMillis
         }
         changedMillis = nowMillis
         pauseMillis = if (isBurst) burstPauseMillis(start) else pacing.batchDelayMillis
@@ -275,6 +285,8 @@
     private suspend fun onFailure(failure: FeedFailure, start: ClockReading, callWaitMillis: Long) {
         if (failure == FeedFailure.HistoryGone || failure == FeedFailure.TooManyChanges) {
             revision = null
+            // The store discards its history faster than the pages of a listing are read.
+            if (isJustListed) delay(backoffMillis)
             return
         }
         val now = clocks.now()
