Correct a corrupt manifest of weights

Cause: VersionTransfer kept the first manifest that decodes. One wrong digit in a digest, and a piece never verifies; one digest too few or twice, and the version is loaded without a piece. Nothing put the manifest in doubt.

Change: two sources have to agree (ManifestEvidence in core). On the number of pieces: a copy, and the configuration or the staged pieces of another version; without these two copies, and three against them. On a digest: a copy, and the bytes of the piece. Wrong bytes that are the same again put the digest in doubt (E408); another copy corrects the digests at which it agrees with the bytes (E409), and nothing else. Verified pieces stay; a corrupt piece leads to no new manifest; copies that settle nothing are read after pauses of 250 ms to 30 s. A piece whose digest stands twice is held only where it was stored. ManifestReader takes no copy of another version from an agent, and survives one that is malformed.

Why it works: a digest is believed once bytes that were fetched for its piece match it, which a corrupt copy cannot bring about, and each wrong one is found by the same bytes and replaced.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -40,6 +40,8 @@
     PIECES_RECOVERED(405, "pieces recovered from the staged copy"),
     STAGED_PIECE_SPOILT(406, "staged piece was corrupt and staged again"),
     TRANSFER_PROGRESS(407, "progress of a release transfer"),
+    MANIFEST_DOUBTED(408, "digests of a manifest doubted and another copy read"),
+    MANIFEST_CORRECTED(409, "digests of a manifest corrected by another copy"),
     LEASE_ACQUIRED(410, "endpoint lease acquired"),
     LEASE_LOST(411, "endpoint lease lost"),
     LOAD_ORDERED(412, "engine ordered to load a release"),
--- a/core/src/main/kotlin/org/toucanspur/core/gateway/TrafficConfiguration.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/gateway/TrafficConfiguration.kt
@@ -103,7 +103,9 @@
     val models: List<ServedModel>,
     val origin: WeightOrigin?,
     /** Null when the number of endpoints is fixed. */
-    val scaling: ServiceScaling? = null
+    val scaling: ServiceScaling? = null,
+    /** Pieces of each weight version of its models; null when it is not named. */
+    val pieceCount: Int? = null
 )
 
 /** Size limits and timeouts for requests of callers. */
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineAgent.kt
@@ -357,6 +357,7 @@
             transferDependencies,
             client,
             origin.connectionsMax,
+            services[settings.engine.service]?.pieceCount ?: loader.stagedCount(key.model),
             members(),
             ::recoverStaged
         ) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/EngineLoader.kt
@@ -29,8 +29,10 @@
 import org.toucanspur.core.weights.PieceVerifications
 import org.toucanspur.core.weights.RunningRequestPolicy
 import org.toucanspur.core.weights.WeightFailure
+import org.toucanspur.core.weights.wholeCountOf
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.wallMillis
+import org.toucanspur.schema.ModelId
 
 // The rest of the time for which a verification counts is reserved for the reply to the order.
 private const val ORDER_AGE_MAX_MILLIS = PIECE_TRUST_MILLIS - 1000
@@ -218,6 +220,10 @@
         return restagedBytes != null && manifest.verifies(index, restagedBytes)
     }
 
+    /** Number of pieces of the version that is staged whole; null if none is. */
+    suspend fun stagedCount(model: ModelId): Int? =
+        engine.stagedIndexes(model).get()?.let(::wholeCountOf)
+
     /**
      * Reads back the pieces that a previous process of the agent staged and caches those that match
      * the manifest of [key]; returns their number.
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/engine/VersionTransfer.kt
@@ -4,9 +4,7 @@
  */
 package org.toucanspur.daemon.engine
 
-import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getOrElse
-import com.github.michaelbull.result.onFailure
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -14,12 +12,14 @@
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
 import org.toucanspur.core.weights.ChunkSource
+import org.toucanspur.core.weights.DigestDoubts
 import org.toucanspur.core.weights.ExchangeEffect
 import org.toucanspur.core.weights.ExchangePlanner
 import org.toucanspur.core.weights.FetchFailure
 import org.toucanspur.core.weights.PieceManifest
 import org.toucanspur.core.weights.PieceOrigin
 import org.toucanspur.core.weights.pieceExchangeLimits
+import org.toucanspur.core.weights.sha256
 import org.toucanspur.daemon.log.DecisionLog
 import org.toucanspur.daemon.monotonicMillis
 import org.toucanspur.schema.PieceQuery
@@ -40,12 +40,16 @@
     val sendStatus: (PieceStatus, Collection<VmId>) -> Unit
 )
 
-/** Transfers the version [key]; confined to the event loop. */
+/**
+ * Transfers the version [key], which is expected to have [expectedCount] pieces; null if nothing is
+ * known of their number. Confined to the event loop.
+ */
 class VersionTransfer(
     val key: VersionKey,
     private val deps: TransferDependencies,
     private val origin: PieceOrigin,
     private val originConnectionsMax: Int,
+    expectedCount: Int?,
     private var members: TransferMembers,
     private val recoverStaged: suspend (VersionKey) -> Boolean,
     private val onPieceStored: (Int) -> Unit
@@ -56,6 +60,8 @@
     private var lastAnnounceMillis = 0L
     private var lastLogMillis = startMillis
     private val failuresBySource = HashMap<String, Int>()
+    private val manifests = ManifestReader(key, deps, origin, expectedCount) { members.all }
+    private val doubts = DigestDoubts()
 
     /** Number of pieces held and in total; both are 0 until the manifest is known. */
     val progress: Pair<Int, Int>
@@ -71,7 +77,7 @@
             put("version", key.version)
             put("peers", members.region.size)
         }
-        val manifest = awaitManifest()
+        val manifest = manifests.await()
         deps.cache.addManifest(manifest)
         val hasJustStarted = recoverStaged(key)
         startPlanner(manifest)
@@ -91,28 +97,22 @@
         }
     }
 
-    private suspend fun awaitManifest(): PieceManifest {
-        var attempt = 0
-        while (true) {
-            deps.cache.manifest(key)?.let { return it }
-            origin.manifest(key.model, key.version).onFailure {
-                deps.log.event(EventCode.OBJECT_API_UNAVAILABLE, isEssential = false) {
-                    put("what", "manifest")
-                    put("reason", it.message)
-                }
-            }.get()?.let { return it }
-            fetchManifestFromPeer(attempt++)?.let { return it }
-            delay(MANIFEST_RETRY_MILLIS)
+    // Reads another copy of the manifest, because the bytes of the piece at [index] are the same
+    // from more than one fetch and do not match.
+    private suspend fun reviewManifest(index: Int) {
+        deps.log.event(EventCode.MANIFEST_DOUBTED) {
+            put("version", key.version)
+            put("piece", index)
+        }
+        val copy = manifests.readCopy() ?: return
+        val current = deps.cache.manifest(key) ?: return
+        val corrected = doubts.correct(current, copy)
+        if (corrected === current) return
+        deps.cache.replaceManifest(corrected)
+        deps.log.event(EventCode.MANIFEST_CORRECTED) {
+            put("version", key.version)
+            put("pieces", current.digests.zip(corrected.digests).count { it.first != it.second })
         }
-    }
-
-    private suspend fun fetchManifestFromPeer(attempt: Int): PieceManifest? {
-        val peers = members.all.filter { it != deps.self }
-        if (peers.isEmpty()) return null
-        val query = PieceQuery(key.model, key.version, MANIFEST_INDEX)
-        val reply = deps.client.fetch(peers[attempt % peers.size], query)
-            ?.takeIf { it.bytes.isNotEmpty() } ?: return null
-        return Json.decodeFromString<PieceManifest>(reply.bytes.decodeToString())
     }
 
     private fun startPlanner(manifest: PieceManifest) {
@@ -200,7 +200,12 @@
         return PieceStatus(deps.self, key.model, key.version, current.bitmap(), isChoked = false)
     }
 
-    private suspend fun fetch(current: ExchangePlanner, index: Int, source: ChunkSource) {
+    private suspend fun fetch(
+        scope: CoroutineScope,
+        current: ExchangePlanner,
+        index: Int,
+        source: ChunkSource
+    ) {
         val fetched = when (source) {
             is ChunkSource.Store ->
                 FetchedPiece(origin.piece(key.model, key.version, index).getOrElse { null })
@@ -222,6 +227,8 @@
                 put("piece", index)
                 put("source", sourceName)
             }
+            val digest = sha256(checkNotNull(fetched.bytes))
+            if (doubts.onMismatch(index, digest, now)) scope.launch { reviewManifest(index) }
         }
         current.onFailed(index, fetched.failure, now)
     }
@@ -243,12 +250,11 @@
         current: ExchangePlanner,
         fetch: ExchangeEffect.Fetch
     ) {
-        fetch(current, fetch.index, fetch.source)
+        fetch(scope, current, fetch.index, fetch.source)
         plan(scope)
     }
 
     private companion object {
-        const val MANIFEST_RETRY_MILLIS = 200L
         const val PLAN_INTERVAL_MILLIS = 15L
         const val ANNOUNCE_INTERVAL_MILLIS = 100L
         const val LOG_INTERVAL_MILLIS = 1000L
@@ -259,9 +265,6 @@
     }
 }
 
-/** Piece index in a [PieceQuery] that requests the manifest. */
-const val MANIFEST_INDEX = -1
-
 /** The reply to [query] from [cache], or null if the piece is not cached. */
 fun replyFromCache(cache: PieceCache, query: PieceQuery): PieceReply? {
     val key = VersionKey(query.model, query.version)
