Ask the store before callers are read after a pause

Callers saw: an entry that had been stopped refused with 503 all requests with a key that had arrived meanwhile, until it had read the configuration.

Cause: the event loop handled 150 waiting requests before the second response of the store. The proof that is missing after a pause is usually milliseconds away.

Change: if a pause has just ended and keys cannot be checked, callers are read only once the configuration is confirmed, for 300 ms at most (inputHoldMillis in core, E229). Keys are accepted as soon as that happens, not up to 100 ms later.

--- a/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
+++ b/core/src/main/kotlin/org/toucanspur/core/events/EventCode.kt
@@ -28,6 +28,7 @@
     KEYS_SUSPENDED(226, "keys refused because the configuration may be out of date"),
     KEYS_RESUMED(227, "keys accepted again"),
     VERSION_UNREADABLE(228, "target weight version cannot be parsed"),
+    INPUT_HELD(229, "callers not read until the store has responded after a pause"),
     PEER_CONNECTED(300, "peer connected"),
     PEER_LOST(301, "peer connection lost"),
     PEER_REJECTED(302, "peer failed the handshake"),
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/CallerConnection.kt
@@ -48,6 +48,9 @@
     /** Whether responses announce that the connection will be closed. */
     val isClosing: Boolean
 
+    /** Whether nothing more is read from callers for a moment. */
+    val isInputHeld: Boolean get() = false
+
     /** Called for each request; the response is written to [connection]. */
     fun onRequest(connection: CallerConnection, request: BufferedRequest)
 
@@ -266,9 +269,14 @@
     private fun updateReading() {
         val isFull =
             !mayDecode && (decoder?.hasInput ?: (queuedMessages.size >= QUEUED_MESSAGES_MAX))
-        context.channel().config().isAutoRead = isInputDiscarded || !isFull
+        context.channel().config().isAutoRead =
+            !listener.isInputHeld &&
+            (isInputDiscarded || !isFull)
     }
 
+    /** Applies a change of [CallerConnectionListener.isInputHeld]. */
+    fun onInputHeldChanged() = updateReading()
+
     private fun onMessage(message: Any) {
         if (message is HttpRequest && !onHead(message)) {
             ReferenceCountUtil.release(message)
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayEntry.kt
@@ -19,6 +19,7 @@
 import org.toucanspur.core.gateway.GracePeriod
 import org.toucanspur.core.gateway.StoreOutage
 import org.toucanspur.core.gateway.WatchProgress
+import org.toucanspur.core.gateway.inputHoldMillis
 import org.toucanspur.core.platform.ObjectKind
 import org.toucanspur.daemon.duties.DutyWork
 import org.toucanspur.daemon.duties.EntryDuties
@@ -77,7 +78,7 @@
         }
     private val evacuations = EvacuationListener(state, log)
     private val watches = mutableListOf<Job>()
-    private val watchHealth = WatchHealth(state.storeFreshness)
+    private val watchHealth = WatchHealth(state.storeFreshness, onConfirmed = ::onConfirmed)
     private val watchers = EnumMap<ObjectKind, ObjectWatcher>(ObjectKind::class.java)
     private var isStopping = false
     private var areKeysAccepted = false
@@ -229,6 +230,19 @@
         log.event(if (isFresh) EventCode.KEYS_RESUMED else EventCode.KEYS_SUSPENDED) {
             put("proofAgeMillis", state.freshness.ageMillis(now) ?: -1)
         }
+        if (isFresh) server.resumeInput() else holdInputAfterPause()
+    }
+
+    private fun onConfirmed() {
+        if (!areKeysAccepted && state.freshness.isFresh(systemClocks.now())) checkFreshness()
+    }
+
+    private fun holdInputAfterPause() {
+        val areKeysChecked = state.configuration?.requiresApiKey ?: false
+        val holdMillis = inputHoldMillis(pauses.recent(), systemClocks.now(), areKeysChecked)
+        if (holdMillis == 0L) return
+        log.event(EventCode.INPUT_HELD) { put("maxMillis", holdMillis) }
+        server.holdInput(holdMillis)
     }
 
     override suspend fun shutdown() = withContext(loop.executor.asCoroutineDispatcher()) {
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/GatewayServer.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.util.concurrent.ScheduledFuture
 import java.net.InetSocketAddress
 import kotlinx.serialization.json.put
 import org.toucanspur.core.events.EventCode
@@ -37,10 +38,14 @@
     private val calls = HashMap<CallerConnection, Call>()
     private val connections = LinkedHashSet<CallerConnection>()
     private var listener: Channel? = null
+    private var holdEnd: ScheduledFuture<*>? = null
 
     override var isClosing = false
         private set
 
+    override var isInputHeld = false
+        private set
+
     override val bodyMaxBytes: Int
         get() = state.callerLimits.bodyMaxBytes
 
@@ -52,6 +57,22 @@
         return bound.localAddress() as InetSocketAddress
     }
 
+    /** Reads nothing more from callers until [resumeInput], for [maxMillis] at most. */
+    fun holdInput(maxMillis: Long) {
+        if (isInputHeld) return
+        isInputHeld = true
+        connections.forEach { it.onInputHeldChanged() }
+        holdEnd = loop.schedule("held input", maxMillis, ::resumeInput)
+    }
+
+    /** Reads from callers again. */
+    fun resumeInput() {
+        if (!isInputHeld) return
+        isInputHeld = false
+        holdEnd?.cancel(false)
+        connections.forEach { it.onInputHeldChanged() }
+    }
+
     private fun initializeChannel(channel: Channel) {
         val connection = CallerConnection(this)
         channel.config().setRecvByteBufAllocator(callerReceiveBuffers())
@@ -68,6 +89,7 @@
             return
         }
         connections += connection
+        if (isInputHeld) connection.onInputHeldChanged()
     }
 
     // Closes the connection whose request has been incomplete for longest without progress.
--- a/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchHealth.kt
+++ b/daemon/src/main/kotlin/org/toucanspur/daemon/gateway/WatchHealth.kt
@@ -13,7 +13,8 @@
 /** Health of the watches of one entry; confined to the event loop. */
 class WatchHealth(
     private val freshness: StoreFreshness,
-    private val clocks: ClockPair = systemClocks
+    private val clocks: ClockPair = systemClocks,
+    private val onConfirmed: () -> Unit = {}
 ) {
     private val failed = EnumSet.noneOf(ObjectKind::class.java)
 
@@ -32,6 +33,7 @@
                 listener.onUpToDate(revision, at, era)
                 freshness.onConfirmed(kind, revision, at, clocks.now(), era)
                 failed -= kind
+                onConfirmed()
             }
         }
 }
--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/TestGateway.kt
@@ -368,6 +368,15 @@
         get() = registry.meters.filterIsInstance<Counter>()
             .associate { it.id.toString() to it.count() }
 
+    /** Reads nothing from callers until [confirmConfiguration], for [maxMillis] at most. */
+    fun holdInput(maxMillis: Long) = onLoop { server.holdInput(maxMillis) }
+
+    /** Confirms that the configuration is the newest, and reads from callers again. */
+    fun confirmConfiguration() = onLoop {
+        state.freshness.renew(systemClocks.now())
+        server.resumeInput()
+    }
+
     /** Sends a request and returns everything received until the connection closes. */
     fun call(
         path: String,
