Let the test of held input fail without the hold on a slow machine

It passed with the hold switched off beside other load, because the first request through a gateway takes longer than the 100 ms that the test waited. A request goes through it before, and the test waits 500 ms: it fails with the hold switched off, and passes with it.

--- a/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/HeldInputTest.kt
+++ b/daemon/src/test/kotlin/org/toucanspur/daemon/gateway/HeldInputTest.kt
@@ -6,7 +6,7 @@
 
 private const val HOLD_MILLIS = 60_000L
 private const val SHORT_HOLD_MILLIS = 50L
-private const val ARRIVAL_MILLIS = 100L
+private const val ARRIVAL_MILLIS = 500L
 
 class HeldInputTest :
     DescribeSpec({
@@ -22,6 +22,7 @@
         describe("a request that arrives while input is held") {
             it("is decided by the configuration that is confirmed meanwhile") {
                 val gateway = staleGateway()
+                gateway.call("/once/") shouldStartWith "HTTP/1.1 503"
                 gateway.holdInput(HOLD_MILLIS)
                 val response = CompletableFuture.supplyAsync { gateway.call("/once/") }
                 Thread.sleep(ARRIVAL_MILLIS)
