List in pages and corrupt manifests in the fault soak

Now it lists two objects a page, and one in ten manifests (one wrong digit, a digest that stands twice, one that is missing, in turn) and pieces is corrupt.

So this widens what the soak meets; it does not replace the tests of the fixes.

--- a/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakRun.kt
+++ b/bench/src/main/kotlin/org/toucanspur/bench/soak/SoakRun.kt
@@ -53,8 +53,8 @@
         drainMillis = DRAIN_MILLIS
     )
     private val observations = SoakObservations(limits)
-    private val store = ObjectStoreService()
-    private val origin = OriginService(SOAK_MODEL)
+    private val store = ObjectStoreService(PAGE_ITEMS)
+    private val origin = OriginService(SOAK_MODEL, CORRUPT_ONE_IN)
     private val operations = OperationsService(LEASE_MILLIS)
     private val endpoints = List(PLAIN_ENDPOINTS + ENGINES) {
         val isPlain = it < PLAIN_ENDPOINTS
@@ -454,6 +454,10 @@
         const val ENTRIES = 2
         const val ENGINES = 3
         const val PLAIN_ENDPOINTS = 2
+
+        // Less than there are endpoints, so that their listings have pages.
+        const val PAGE_ITEMS = 2
+        const val CORRUPT_ONE_IN = 10
         const val OTHER_SERVICE = "other"
         const val ADDED_ROUTES = 600
         const val DEFAULT_IDLE_TIMEOUT_MILLIS = 15_000L
--- a/standin/src/main/kotlin/org/toucanspur/standin/platform/ObjectStoreService.kt
+++ b/standin/src/main/kotlin/org/toucanspur/standin/platform/ObjectStoreService.kt
@@ -1,7 +1,7 @@
 /*
- * Stand-in for the users' platform store: objects by kind with one revision counter, listings and
- * long-polling watches. Single objects can be read, and written under the condition of their
- * revision. Outages, compaction of the change history and a return from an older copy can be
+ * Stand-in for the users' platform store: objects by kind with one revision counter, listings in
+ * pages and long-polling watches. Single objects can be read, and written under the condition of
+ * their revision. Outages, compaction of the change history and a return from an older copy can be
  * simulated.
  */
 package org.toucanspur.standin.platform
@@ -27,8 +27,8 @@
 
 private class Change(val revision: Long, val kind: String, val name: String, val isRemoved: Boolean)
 
-/** The object store on a loopback port. */
-class ObjectStoreService : LoopbackService() {
+/** The object store on a loopback port; its listings have [pageItems] objects a page at most. */
+class ObjectStoreService(private val pageItems: Int = Int.MAX_VALUE) : LoopbackService() {
     private val lock = ReentrantLock()
     private val changed = lock.newCondition()
     private val objects = HashMap<String, LinkedHashMap<String, Content>>()
@@ -124,11 +124,16 @@
             isDown -> respond(exchange, UNAVAILABLE, "{}")
             exchange.requestMethod != "GET" -> write(exchange, kind, name)
             name != null -> read(exchange, kind, name)
-            watch == null -> respond(exchange, OK, lock.withLock { listingJson(kind) })
+            watch == null -> list(exchange, kind)
             else -> awaitChanges(exchange, kind, watch, query["wait-ms"]?.toLong() ?: 0)
         }
     }
 
+    private fun list(exchange: HttpExchange, kind: String) {
+        val after = exchange.queryValue("after")
+        respond(exchange, OK, lock.withLock { pageJson(kind, after) })
+    }
+
     private fun read(exchange: HttpExchange, kind: String, name: String) {
         val body = lock.withLock {
             objectJson(kind, name).takeIf { objects[kind]?.containsKey(name) == true }
@@ -187,9 +192,12 @@
         return """{"events":[$events],"store-revision":$revision}"""
     }
 
-    private fun listingJson(kind: String): String {
-        val items = objects[kind].orEmpty().keys.joinToString(",") { objectJson(kind, it) }
-        return """{"items":[$items],"more":false,"store-revision":$revision}"""
+    // The page with the names that follow [after]; null for the first one.
+    private fun pageJson(kind: String, after: String?): String {
+        val names = objects[kind].orEmpty().keys.filter { after == null || it > after }.sorted()
+        val items = names.take(pageItems).joinToString(",") { objectJson(kind, it) }
+        val hasMore = names.size > pageItems
+        return """{"items":[$items],"more":$hasMore,"store-revision":$revision}"""
     }
 
     private fun objectJson(kind: String, name: String): String {
